Add the design, the build, and the base and error modules

The design answers how a caller reaches a node, how a non-idempotent request runs at most once without shared storage, what bounds the attempts of an action, and how importance, outcomes and configuration are decided. The base module holds the clock, timers and random numbers that all decisions are given; the error module holds the closed list of error kinds with the response that belongs to each. No measurement yet: nothing serves requests so far.

--- /dev/null
+++ b/masticpin/base/instance_id.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace masticpin {
+
+/// One run of the node process beside one upstream instance.
+struct InstanceId {
+  /// Name of the instance, unique in the deployment.
+  std::string name;
+  /// Random number drawn when the process starts; 0 when it is not known yet.
+  std::uint64_t incarnation = 0;
+
+  auto operator<=>(const InstanceId&) const = default;
+};
+
+}  // namespace masticpin
--- /dev/null
+++ b/masticpin/base/random_source.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <cstdint>
+
+namespace masticpin {
+
+/// Source of random numbers for decisions. Tests give a seeded one.
+class RandomSource {
+ public:
+  virtual ~RandomSource() = default;
+
+  /// Returns 64 uniformly distributed bits.
+  virtual std::uint64_t Next() = 0;
+
+  /// Returns a uniformly distributed number in [0, bound). `bound` must not be 0.
+  std::uint64_t Below(std::uint64_t bound) {
+    // Multiplication maps the 64 bits to the range without a division; the bias is below 2^-32 for
+    // every bound used here.
+    return static_cast<std::uint64_t>((static_cast<unsigned __int128>(this->Next()) * bound) >> 64);
+  }
+};
+
+}  // namespace masticpin
--- /dev/null
+++ b/masticpin/base/ref_counted.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
+namespace masticpin {
+
+/// Base of objects that are shared between threads by an intrusive count.
+template <typename T>
+using RefCounted = boost::intrusive_ref_counter<T, boost::thread_safe_counter>;
+
+/// Owning reference to a RefCounted object.
+template <typename T>
+using Ref = boost::intrusive_ptr<T>;
+
+}  // namespace masticpin
--- /dev/null
+++ b/masticpin/error/error_kind.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <cstdint>
+
+namespace masticpin {
+
+/// The closed list of ways in which a request ends without a complete answer. The answer for each
+/// kind is in answer_table.h. The numbers are part of the protocol between nodes.
+enum class ErrorKind : std::uint8_t {
+  kMalformedRequest = 1,
+  kNotFound = 2,
+  kBodyTooLarge = 3,
+  kKeyRequired = 4,
+  kKeyClosed = 5,
+  kKeyInvalid = 6,
+  kAlreadyComplete = 7,
+  kOverloaded = 8,
+  kDraining = 9,
+  kLedgerFull = 10,
+  kNoInstance = 11,
+  kNoConfiguration = 12,
+  kAttemptsExhausted = 13,
+  kExpiredBeforeStart = 14,
+  kUpstreamShed = 15,
+  kUpstreamUnreachable = 16,
+  kCancelledBeforeStart = 17,
+  kWrongIncarnation = 18,
+  kOutcomeLost = 19,
+  kUpstreamBroken = 20,
+  kDeadlineExceeded = 21,
+  kPeerLost = 22,
+  kCancelled = 23,
+  kInternal = 24,
+};
+
+/// Number of the last kind.
+inline constexpr int kLastErrorKind = static_cast<int>(ErrorKind::kInternal);
+
+}  // namespace masticpin
--- /dev/null
+++ b/node/node_main.cc
@@ -0,0 +1,3 @@
+int main() {
+  return 0;
+}
