Add the transport between nodes and the client to the upstream

Cause: the decisions need a way to act on other nodes and on the upstream. Change: a ZeroMQ transport with one receiving socket and one sending socket per peer, bounded queues, size limit and optional CURVE keys; an HTTP client that never reuses a connection after an incomplete response and names for each failure whether the request may have run.

--- /dev/null
+++ b/net/peer_transport.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <mutex>
+#include <string>
+#include <thread>
+#include <unordered_map>
+#include <vector>
+#include <zmq.hpp>
+
+#include "masticpin/wire/envelope.pb.h"
+#include "net/peer_handler.h"
+#include "net/peer_transport_settings.h"
+
+namespace masticpin {
+
+/// Messages between nodes over ZeroMQ. One ROUTER socket receives from all nodes; one DEALER socket
+/// for each peer sends to it. Every message is one-way; a reply goes to the endpoint that the
+/// request names as its sender.
+class PeerTransport {
+ public:
+  /// Binds and starts the thread. `handler` must outlive the transport. Throws zmq::error_t when
+  /// the endpoint cannot be bound or a key is not valid.
+  PeerTransport(const PeerTransportSettings& settings, PeerHandler& handler);
+  ~PeerTransport();
+
+  /// Opens the connection to a peer ahead of the first message. Thread-safe.
+  void Connect(const std::string& endpoint);
+
+  /// Closes the connection to a peer. Messages that still wait for it are dropped. Thread-safe.
+  void Disconnect(const std::string& endpoint);
+
+  /// Queues one message for a peer and returns at once. Thread-safe.
+  void Send(const std::string& endpoint, wire::Envelope envelope);
+
+  /// Ends the thread. Messages that were queued before are handed to the network first.
+  void Stop();
+
+ private:
+  enum class CommandKind { kConnect, kDisconnect, kSend, kStop };
+  struct Command {
+    CommandKind kind;
+    std::string endpoint;
+    wire::Envelope envelope;
+  };
+
+  void Post(Command command);
+  void Run();
+  /// Runs all queued commands; returns false after kStop.
+  bool RunCommands();
+  void SendNow(const std::string& endpoint, const wire::Envelope& envelope);
+  void Receive();
+  zmq::socket_t& GetPeer(const std::string& endpoint);
+  void ApplyCommonOptions(zmq::socket_t& socket) const;
+
+  const PeerTransportSettings settings;
+  PeerHandler& handler;
+  zmq::context_t context;
+  zmq::socket_t router;
+  zmq::socket_t wake_receiver;
+
+  std::mutex mutex;
+  zmq::socket_t wake_sender;
+  std::vector<Command> commands;
+
+  /// Used by the transport's thread only.
+  std::unordered_map<std::string, zmq::socket_t> peers;
+  std::string buffer;
+  wire::Envelope received;
+  std::thread thread;
+};
+
+}  // namespace masticpin
--- /dev/null
+++ b/net/thread_timer_service.cc
@@ -0,0 +1,49 @@
+#include "net/thread_timer_service.h"
+
+namespace masticpin {
+
+ThreadTimerService::ThreadTimerService(std::mutex& mutex, const Clock& clock)
+    : mutex(mutex), clock(clock), thread([this] { this->Run(); }) {}
+
+ThreadTimerService::~ThreadTimerService() {
+  this->Stop();
+}
+
+void ThreadTimerService::Schedule(TimerSubscriber& subscriber, TimePoint due) {
+  const bool earliest = !this->queue.NextDue().has_value() || due < *this->queue.NextDue();
+  this->queue.Schedule(subscriber, due);
+  if (earliest) {
+    this->changed.notify_one();
+  }
+}
+
+void ThreadTimerService::Cancel(TimerSubscriber& subscriber) {
+  this->queue.Cancel(subscriber);
+}
+
+void ThreadTimerService::Stop() {
+  {
+    const std::lock_guard lock(this->mutex);
+    this->stopping = true;
+    this->changed.notify_one();
+  }
+  if (this->thread.joinable()) {
+    this->thread.join();
+  }
+}
+
+void ThreadTimerService::Run() {
+  std::unique_lock lock(this->mutex);
+  while (!this->stopping) {
+    const auto due = this->queue.NextDue();
+    if (!due.has_value()) {
+      this->changed.wait(lock);
+    } else if (*due > this->clock.Now()) {
+      this->changed.wait_until(lock, *due);
+    } else {
+      this->queue.RunDue(this->clock.Now());
+    }
+  }
+}
+
+}  // namespace masticpin
--- /dev/null
+++ b/net/upstream_client.cc
@@ -0,0 +1,145 @@
+#include "net/upstream_client.h"
+
+#include <strings.h>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "masticpin/wire/http_headers.h"
+
+namespace masticpin {
+namespace {
+
+bool HasLength(const httplib::Response& response) {
+  return response.has_header("Content-Length") ||
+         response.get_header_value("Transfer-Encoding") == "chunked" || response.status == 204 ||
+         response.status == 304;
+}
+
+/// Header fields that belong to one connection; the sender of the next hop sets its own.
+bool IsHopByHop(const std::string& name) {
+  static constexpr std::array<const char*, 4> kNames = {"Connection", "Keep-Alive",
+                                                        "Transfer-Encoding", "Content-Length"};
+  return std::any_of(kNames.begin(), kNames.end(),
+                     [&name](const char* other) { return strcasecmp(name.c_str(), other) == 0; });
+}
+
+}  // namespace
+
+UpstreamClient::UpstreamClient(const UpstreamClientSettings& settings, const Clock& clock)
+    : settings(settings), clock(clock) {}
+
+Result<wire::HttpResponse> UpstreamClient::Send(const wire::HttpRequest& request,
+                                                bool idempotent,
+                                                TimePoint deadline,
+                                                UpstreamCall& call) {
+  // Prepare the request.
+  httplib::Request outgoing;
+  outgoing.method = request.method();
+  outgoing.path = request.target();
+  outgoing.body = request.body();
+  for (const wire::Header& header : request.headers()) {
+    outgoing.headers.emplace(header.name(), header.value());
+  }
+  // The limit on the body is checked while it is read.
+  std::string body;
+  outgoing.content_receiver = [this, &body](const char* data, size_t size, uint64_t, uint64_t) {
+    if (body.size() + size > this->settings.max_response_bytes) {
+      return false;
+    }
+    body.append(data, size);
+    return true;
+  };
+
+  // Send it on a connection that no other request uses.
+  Connection connection = this->TakeConnection(idempotent);
+  const Duration remaining = deadline - this->clock.Now();
+  if (remaining <= Duration::zero()) {
+    this->ReturnConnection(std::move(connection));
+    return MakeError(ErrorKind::kExpiredBeforeStart);
+  }
+  connection.client->set_read_timeout(
+      std::chrono::duration_cast<std::chrono::microseconds>(remaining));
+  if (!call.Attach(*connection.client)) {
+    this->ReturnConnection(std::move(connection));
+    return MakeError(ErrorKind::kCancelledBeforeStart);
+  }
+  httplib::Response response;
+  httplib::Error error = httplib::Error::Success;
+  const bool sent = connection.client->send(outgoing, response, error);
+  call.Detach();
+
+  // Name what happened.
+  if (!sent) {
+    if (error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout) {
+      return MakeError(ErrorKind::kUpstreamUnreachable);
+    }
+    if (call.IsCancelled()) {
+      return MakeError(ErrorKind::kCancelled);
+    }
+    if (this->clock.Now() >= deadline) {
+      return MakeError(ErrorKind::kDeadlineExceeded);
+    }
+    return MakeError(ErrorKind::kUpstreamBroken, httplib::to_string(error));
+  }
+  if (!HasLength(response)) {
+    // The end of such a response cannot be told from a cut connection.
+    return MakeError(ErrorKind::kUpstreamBroken, "response without a length");
+  }
+  response.body = std::move(body);
+  auto result = this->Convert(response);
+  connection.last_used = this->clock.Now();
+  this->ReturnConnection(std::move(connection));
+  return result;
+}
+
+UpstreamClient::Connection UpstreamClient::TakeConnection(bool idempotent) {
+  {
+    const std::lock_guard lock(this->mutex);
+    if (!this->idle.empty()) {
+      Connection connection = std::move(this->idle.back());
+      this->idle.pop_back();
+      if (idempotent || this->clock.Now() - connection.last_used <= this->settings.max_idle) {
+        return connection;
+      }
+    }
+  }
+  Connection connection;
+  connection.client = std::make_unique<httplib::Client>(this->settings.host, this->settings.port);
+  connection.client->set_keep_alive(true);
+  connection.client->set_tcp_nodelay(true);
+  connection.client->set_url_encode(false);
+  connection.client->set_decompress(false);
+  connection.client->set_connection_timeout(this->settings.connect_timeout);
+  connection.last_used = this->clock.Now();
+  return connection;
+}
+
+void UpstreamClient::ReturnConnection(Connection connection) {
+  const std::lock_guard lock(this->mutex);
+  this->idle.push_back(std::move(connection));
+}
+
+Result<wire::HttpResponse> UpstreamClient::Convert(const httplib::Response& response) const {
+  const std::string outcome = response.get_header_value(kOutcomeHeader);
+  if (outcome == "not-run" || response.status == this->settings.shed_status) {
+    return MakeError(ErrorKind::kUpstreamShed);
+  }
+  if (outcome == "unknown") {
+    return MakeError(ErrorKind::kUpstreamBroken, "upstream reported an unknown outcome");
+  }
+  wire::HttpResponse converted;
+  converted.set_status(static_cast<std::uint32_t>(response.status));
+  converted.set_body(response.body);
+  for (const auto& [name, value] : response.headers) {
+    if (!IsHopByHop(name)) {
+      wire::Header* header = converted.add_headers();
+      header->set_name(name);
+      header->set_value(value);
+    }
+  }
+  return converted;
+}
+
+}  // namespace masticpin
--- /dev/null
+++ b/net/upstream_client.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <httplib.h>
+
+#include <memory>
+#include <mutex>
+#include <vector>
+
+#include "masticpin/base/clock.h"
+#include "masticpin/error/result.h"
+#include "masticpin/wire/http_message.pb.h"
+#include "net/upstream_call.h"
+#include "net/upstream_client_settings.h"
+
+namespace masticpin {
+
+/// Sends requests to the upstream over kept connections, one request at a time on each.
+/// Thread-safe.
+class UpstreamClient {
+ public:
+  UpstreamClient(const UpstreamClientSettings& settings, const Clock& clock);
+
+  /// Sends `request` and waits for the whole response until `deadline`. Errors:
+  /// kUpstreamUnreachable, kUpstreamShed and kCancelledBeforeStart if it certainly did not run;
+  /// kUpstreamBroken, kDeadlineExceeded and kCancelled if it may have run. A connection that did
+  /// not end with a complete response is never used again, so that a late response cannot meet
+  /// another request.
+  Result<wire::HttpResponse> Send(const wire::HttpRequest& request,
+                                  bool idempotent,
+                                  TimePoint deadline,
+                                  UpstreamCall& call);
+
+ private:
+  struct Connection {
+    std::unique_ptr<httplib::Client> client;
+    TimePoint last_used;
+  };
+
+  Connection TakeConnection(bool idempotent);
+  void ReturnConnection(Connection connection);
+  Result<wire::HttpResponse> Convert(const httplib::Response& response) const;
+
+  const UpstreamClientSettings settings;
+  const Clock& clock;
+  std::mutex mutex;
+  std::vector<Connection> idle;
+};
+
+}  // namespace masticpin
