--- /dev/null
+++ b/net/connection_pool.cc
@@ -0,0 +1,94 @@
+#include "net/connection_pool.h"
+
+#include <spdlog/spdlog.h>
+
+#include <cassert>
+#include <cstdlib>
+#include <utility>
+
+namespace masticpin {
+
+namespace {
+
+// One node may hold 1,400 connections; with the default of 8 MiB the stacks alone would reserve
+// 11 GiB of address space.
+constexpr std::size_t kStackBytes = 256UL * 1024;
+
+}  // namespace
+
+ConnectionPool::ConnectionPool(std::size_t max_threads) : max_threads(max_threads) {
+  assert(max_threads > 0);
+}
+
+ConnectionPool::~ConnectionPool() {
+  this->shutdown();
+}
+
+void ConnectionPool::enqueue(std::function<void()> task) {
+  const std::lock_guard lock(this->mutex);
+  this->tasks.push_back(std::move(task));
+  // An idle thread that was notified but has not run yet still counts as idle, therefore the
+  // comparison is with the number of waiting tasks.
+  if (this->tasks.size() > this->idle && this->threads.size() < this->max_threads &&
+      !this->StartThread() && this->threads.empty()) {
+    // Without any thread the connection would never be served; dropping the task closes nothing,
+    // so the process must not continue.
+    spdlog::critical("event=thread_start_failed");
+    std::abort();
+  }
+  this->task_ready.notify_one();
+}
+
+void ConnectionPool::shutdown() {
+  std::vector<pthread_t> ended;
+  {
+    const std::lock_guard lock(this->mutex);
+    this->stopping = true;
+    ended.swap(this->threads);
+  }
+  this->task_ready.notify_all();
+  for (const pthread_t thread : ended) {
+    pthread_join(thread, nullptr);
+  }
+}
+
+bool ConnectionPool::StartThread() {
+  pthread_attr_t attributes;
+  pthread_attr_init(&attributes);
+  pthread_attr_setstacksize(&attributes, kStackBytes);
+  pthread_t thread{};
+  const int error = pthread_create(&thread, &attributes, &ConnectionPool::RunThread, this);
+  pthread_attr_destroy(&attributes);
+  if (error != 0) {
+    spdlog::warn("event=thread_start_failed error={}", error);
+    return false;
+  }
+  this->threads.push_back(thread);
+  return true;
+}
+
+void* ConnectionPool::RunThread(void* pool) {
+  static_cast<ConnectionPool*>(pool)->Run();
+  return nullptr;
+}
+
+void ConnectionPool::Run() {
+  std::unique_lock lock(this->mutex);
+  while (true) {
+    ++this->idle;
+    this->task_ready.wait(lock, [this] { return !this->tasks.empty() || this->stopping; });
+    --this->idle;
+    if (this->tasks.empty()) {
+      return;
+    }
+    std::function<void()> task = std::move(this->tasks.front());
+    this->tasks.pop_front();
+    lock.unlock();
+    task();
+    // Destroys what the task holds outside the lock.
+    task = nullptr;
+    lock.lock();
+  }
+}
+
+}  // namespace masticpin
--- /dev/null
+++ b/net/connection_pool.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <httplib.h>
+#include <pthread.h>
+
+#include <condition_variable>
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <vector>
+
+namespace masticpin {
+
+/// Thread pool of an HTTP server in which each connection occupies one thread. Threads are started
+/// on demand up to a bound; further connections wait until a thread is free.
+class ConnectionPool : public httplib::TaskQueue {
+ public:
+  /// Starts no thread yet. `max_threads` must not be 0.
+  explicit ConnectionPool(std::size_t max_threads);
+  ConnectionPool(const ConnectionPool&) = delete;
+  ConnectionPool& operator=(const ConnectionPool&) = delete;
+  ~ConnectionPool() override;
+
+  void enqueue(std::function<void()> task) override;  // NOLINT(readability-identifier-naming)
+  /// Runs the tasks that are waiting, then ends all threads.
+  void shutdown() override;  // NOLINT(readability-identifier-naming)
+
+ private:
+  static void* RunThread(void* pool);
+  void Run();
+  bool StartThread();
+
+  const std::size_t max_threads;
+  std::mutex mutex;
+  std::condition_variable task_ready;
+  std::deque<std::function<void()>> tasks;
+  std::vector<pthread_t> threads;
+  std::size_t idle = 0;
+  bool stopping = false;
+};
+
+}  // namespace masticpin
