Add the interfaces of membership, routing and configuration

Ping and Pong carry recent member changes, because a node that was paused has to ask a peer for the departures that it missed.

--- /dev/null
+++ b/masticpin/configuration/configuration_reader.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "masticpin/base/clock.h"
+#include "masticpin/base/random_source.h"
+#include "masticpin/base/timer_service.h"
+#include "masticpin/configuration/configuration_service_client.h"
+#include "masticpin/configuration/document_store.h"
+#include "masticpin/configuration/reader_selection.h"
+
+namespace masticpin {
+
+struct ConfigurationReaderSettings {
+  /// Longest wait of one watch; each renewal is one call at the service.
+  Duration watch = std::chrono::seconds(30);
+  /// Extra time for an answer before the call counts as lost.
+  Duration answer_grace = std::chrono::seconds(2);
+  /// How often the role is checked while nothing else happens.
+  Duration role_check = std::chrono::seconds(1);
+  /// Back-off of a reader after a failed or stale answer. A watch on a stale service returns at
+  /// once, so without a back-off a reader would call it in a loop. The upper bound is far below
+  /// that of fallback reads because readers are few.
+  Duration first_backoff = std::chrono::milliseconds(500);
+  Duration longest_backoff = std::chrono::seconds(4);
+};
+
+/// Reads and watches one document at the configuration service when the role of this node asks for
+/// it. Not thread-safe.
+class ConfigurationReader : public TimerSubscriber {
+ public:
+  using Settings = ConfigurationReaderSettings;
+
+  ConfigurationReader(std::string document,
+                      DocumentStore& store,
+                      ReaderSelection& readers,
+                      ConfigurationServiceClient& client,
+                      const Clock& clock,
+                      TimerService& timers,
+                      RandomSource& random,
+                      Settings settings = {});
+  ~ConfigurationReader() override;
+
+  void Start();
+  void OnTimer(TimePoint now) override;
+
+  /// Calls made so far.
+  std::uint64_t Calls() const { return this->calls; }
+
+  /// Status of the last answer, for the status page.
+  ServiceStatus LastStatus() const { return this->last_status; }
+
+  /// Answers that held a version below the one in force.
+  std::uint64_t StaleAnswers() const { return this->stale_answers; }
+
+ private:
+  void Call(Duration wait);
+  void OnAnswer(ServiceAnswer answer);
+  bool Apply(ServiceAnswer answer);
+  void ScheduleAfterFailure();
+  Duration Jitter(Duration base);
+
+  const std::string document;
+  DocumentStore& store;
+  ReaderSelection& readers;
+  ConfigurationServiceClient& client;
+  const Clock& clock;
+  TimerService& timers;
+  RandomSource& random;
+  const Settings settings;
+  // Number of the call in progress, 0 if there is none.
+  std::uint64_t call = 0;
+  ReaderRole role = ReaderRole::kNone;
+  Duration backoff{};
+  TimePoint next_call{};
+  std::uint64_t calls = 0;
+  std::uint64_t stale_answers = 0;
+  ServiceStatus last_status = ServiceStatus::kUnavailable;
+};
+
+}  // namespace masticpin
--- /dev/null
+++ b/masticpin/membership/member_observer.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "masticpin/membership/member.h"
+
+namespace masticpin {
+
+/// Is told about each change of a member table. Must not change the table from within a call.
+class MemberObserver {
+ public:
+  virtual ~MemberObserver() = default;
+
+  virtual void OnMemberAdded(const Member& member) = 0;
+
+  /// The state, the addresses or the incarnation changed. `previous_incarnation` differs from the
+  /// present one when a new process took over the name.
+  virtual void OnMemberChanged(const Member& member, std::uint64_t previous_incarnation) = 0;
+
+  /// The member is no longer in the table; the reference is valid during the call.
+  virtual void OnMemberRemoved(const Member& member) = 0;
+};
+
+}  // namespace masticpin
--- /dev/null
+++ b/masticpin/membership/member_table.h
@@ -0,0 +1,159 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "masticpin/base/clock.h"
+#include "masticpin/base/random_source.h"
+#include "masticpin/membership/listed_instance.h"
+#include "masticpin/membership/member.h"
+#include "masticpin/membership/member_observer.h"
+#include "masticpin/membership/membership.pb.h"
+
+namespace masticpin {
+
+struct MemberTableSettings {
+  /// Back-off after the first failure and its upper bound; it doubles with each failure.
+  Duration first_backoff = std::chrono::milliseconds(500);
+  Duration longest_backoff = std::chrono::seconds(8);
+  /// How long a departed incarnation and its name are remembered. It must exceed the lag of the
+  /// platform's list and the life of any message in flight; a list that lags longer only brings
+  /// back a name without an incarnation, which gets no work before it has answered a Ping.
+  Duration tombstone_life = std::chrono::minutes(10);
+  /// A live member that the platform's list does not name is dropped after this silence. New
+  /// instances are known from their own messages before the list names them.
+  Duration unlisted_life = std::chrono::minutes(1);
+  /// What other nodes say about an incarnation does not replace one from which this node itself has
+  /// heard within this time: such news are likely to be late.
+  Duration direct_trust = std::chrono::seconds(2);
+};
+
+/// What became of news about a member.
+enum class MemberNews : std::uint8_t {
+  kApplied,
+  /// The news are about a departed incarnation, or older than what is known.
+  kIgnored,
+  /// Two incarnations claim the name. The owner of the table sends a Ping to the endpoint and
+  /// passes the sender of the Pong on as confirmed.
+  kConflict,
+};
+
+/// The instances of the deployment as this node knows them. Replies and notices of the instances
+/// themselves take precedence over other nodes, and those over the platform's list. Not
+/// thread-safe.
+class MemberTable {
+ public:
+  using Settings = MemberTableSettings;
+
+  /// `self` is the node's own entry; neither the list nor other nodes change it.
+  MemberTable(const Clock& clock, Member self, Settings settings = {});
+  MemberTable(const MemberTable&) = delete;
+  MemberTable& operator=(const MemberTable&) = delete;
+
+  /// Observers are called in the order of their addition and must outlive the table or be removed.
+  /// A new observer is told about the members that are already known.
+  void AddObserver(MemberObserver& observer);
+  void RemoveObserver(MemberObserver& observer);
+
+  /// Applies the platform's list: adds unknown names, and removes leaving, unreachable or silent
+  /// members that it does not name. Never brings back a departed incarnation.
+  void ApplyList(const std::vector<ListedInstance>& list);
+
+  /// Applies the sender of a received envelope. `confirmed` says that the envelope answers a Ping
+  /// which this node sent after it learned of the present incarnation.
+  MemberNews ApplySender(const wire::Member& sender, std::uint32_t epoch, bool confirmed = false);
+
+  /// The instance has announced its departure or refused work as draining.
+  void ApplyLeave(const InstanceId& id);
+
+  /// Applies what another node says about members.
+  void ApplyUpdate(const wire::MemberUpdate& update);
+
+  /// A request to the member or a connection to it failed; does nothing for another incarnation.
+  void OnFailure(const InstanceId& id);
+
+  /// The member answered.
+  void OnSuccess(const InstanceId& id);
+
+  /// Moves the retry time on by one back-off, because a probe is under way.
+  void OnProbe(const InstanceId& id);
+
+  /// Marks all members as not heard from since this process was paused.
+  void MarkUnverified();
+
+  /// Marks the own entry as leaving.
+  void LeaveSelf();
+
+  const Member& Self() const { return *this->self; }
+
+  /// Returns the member of this name, or nullptr.
+  Ref<const Member> Find(std::string_view name) const;
+
+  /// Returns the member if its incarnation is the given one, or nullptr.
+  Ref<const Member> Find(const InstanceId& id) const;
+
+  /// All members, the own one included, in no particular order.
+  const std::vector<Ref<Member>>& Members() const { return this->members; }
+
+  /// Chooses up to `count` distinct members at random, without self and leaving ones. Unreachable
+  /// members are included, so that the end of a partition is noticed.
+  std::vector<Ref<const Member>> RandomPeers(std::size_t count, RandomSource& random) const;
+
+  /// The newest changes (departures and new incarnations) of the last `age`, at most `count`.
+  wire::MemberUpdate RecentChanges(Duration age, std::size_t count) const;
+
+  /// Whether the incarnation is known to be leaving, gone or replaced.
+  bool IsDeparted(std::uint64_t incarnation) const;
+
+ private:
+  struct Tombstone {
+    std::string name;
+    TimePoint expires;
+    // Set when the incarnation itself said that it leaves, not when another one took its name.
+    bool left = false;
+  };
+  struct Change {
+    TimePoint at;
+    wire::Member member;
+  };
+
+  void Prune(TimePoint now);
+  void Bury(const std::string& name, std::uint64_t incarnation, bool left, TimePoint now);
+  void RecordChange(const Member& member, TimePoint now);
+  Member& Add(Ref<Member> member);
+  void Remove(const std::string& name);
+  void SetIncarnation(Member& member, std::uint64_t incarnation, TimePoint now);
+  bool ApplyAddresses(Member& member, const wire::Member& news);
+  void MarkLeaving(Member& member, TimePoint now);
+  void NotifyChanged(const Member& member, std::uint64_t previous_incarnation);
+  Member* FindMutable(std::string_view name);
+  Member* FindMutable(const InstanceId& id);
+
+  struct StringHash {
+    using is_transparent = void;  // NOLINT(readability-identifier-naming)
+    std::size_t operator()(std::string_view text) const {
+      return std::hash<std::string_view>()(text);
+    }
+  };
+
+  const Clock& clock;
+  const Settings settings;
+  Ref<Member> self;
+  std::vector<Ref<Member>> members;
+  // Position in `members` by name.
+  std::unordered_map<std::string, std::size_t, StringHash, std::equal_to<>> positions;
+  std::unordered_map<std::uint64_t, Tombstone> tombstones;
+  // Names whose last known incarnation left, with the time until which the list cannot add them.
+  std::unordered_map<std::string, TimePoint> departed_names;
+  // Tombstones in the order of their creation, for expiry.
+  std::deque<std::pair<TimePoint, std::uint64_t>> expiries;
+  std::deque<Change> changes;
+  std::vector<MemberObserver*> observers;
+};
+
+}  // namespace masticpin
--- /dev/null
+++ b/masticpin/membership/pause_detector.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <functional>
+
+#include "masticpin/base/clock.h"
+#include "masticpin/base/timer_service.h"
+
+namespace masticpin {
+
+/// Notices that the process did not run for a while.
+class PauseDetector : public TimerSubscriber {
+ public:
+  /// Called with the length of the pause.
+  using Callback = std::function<void(Duration)>;
+
+  PauseDetector(const Clock& clock, TimerService& timers, Callback callback);
+
+  void Start();
+  void OnTimer(TimePoint now) override;
+
+  /// Checks for a pause outside the timer, before a decision: messages that queued up during the
+  /// pause may be handled before the timer fires. Returns whether one was found now.
+  bool Check();
+
+ private:
+  const Clock& clock;
+  TimerService& timers;
+  Callback callback;
+  // The time at which the next timer is expected.
+  TimePoint expected{};
+  bool running = false;
+};
+
+}  // namespace masticpin
