--- /dev/null
+++ b/masticpin/manifest/manifest_diff.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "masticpin/manifest/manifest.h"
+
+namespace masticpin {
+
+/// Effect of a change on the callers.
+enum class ChangeEffect : std::uint8_t {
+  /// Fewer requests, attempts or time are granted.
+  kStricter,
+  /// More requests, attempts or time are granted.
+  kLooser,
+  /// Neither, for example a new version.
+  kNeutral,
+};
+
+/// One difference between two manifests.
+struct ManifestChange {
+  ChangeEffect effect = ChangeEffect::kNeutral;
+  /// "manifest", "service NAME" or "kind SERVICE/NAME", as in the section headings.
+  std::string section;
+  /// The key that differs; empty when the whole section was added or removed.
+  std::string key;
+  /// Value in the old manifest; empty when it is not set.
+  std::string before;
+  /// Value in the new manifest; empty when it is not set.
+  std::string after;
+};
+
+/// Compares manifests.
+class ManifestDiff {
+ public:
+  /// Returns the changes from `before` to `after`, ordered by section: manifest, services, kinds.
+  static std::vector<ManifestChange> Compare(const Manifest& before, const Manifest& after);
+};
+
+/// Returns "stricter", "looser" or "neutral".
+std::string_view ChangeEffectName(ChangeEffect effect);
+
+}  // namespace masticpin
