Add the interfaces of the execution and attempts modules

All keys of one action share one ledger entry: a successor has the sequence number of the first key and a higher generation. A delayed duplicate of any key then finds what became of the action, the rank stays the same, and a refused action takes no second entry. When a table is full, one number (the epoch up to which unused keys are closed) keeps a refused key from running later; the refused key itself needs no entry.

--- /dev/null
+++ b/masticpin/attempts/retry_policy.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <cstdint>
+
+#include "masticpin/attempts/retry_ratio.h"
+#include "masticpin/base/time.h"
+#include "masticpin/error/error_kind.h"
+
+namespace masticpin {
+
+enum class RetryDecision : std::uint8_t {
+  kGiveUp,
+  kRetryElsewhere,
+};
+
+/// What the sender of a failed dispatch knows about it.
+struct RetryQuestion {
+  ErrorKind error = ErrorKind::kInternal;
+  bool idempotent = false;
+  /// Attempts held by the sender, and the attempts that one complete run needs.
+  std::uint32_t attempts_left = 0;
+  std::uint32_t cost = 1;
+  /// Time until the caller's deadline, and the expected duration of one run.
+  Duration time_left{};
+  Duration expected_time{};
+};
+
+/// Decides whether the hop next to a failure tries another instance.
+class RetryPolicy {
+ public:
+  /// Counts the retry in `ratio` only if the result is kRetryElsewhere.
+  static RetryDecision Decide(const RetryQuestion& question, RetryRatio& ratio);
+};
+
+}  // namespace masticpin
--- /dev/null
+++ b/masticpin/attempts/retry_ratio.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+
+#include "masticpin/base/clock.h"
+
+namespace masticpin {
+
+/// Limits the retries of one node to a share of its recent first attempts.
+class RetryRatio {
+ public:
+  explicit RetryRatio(const Clock& clock) : clock(clock) {}
+
+  /// Counts one first attempt.
+  void OnFirstAttempt();
+
+  /// Counts and allows one retry, or returns false: the retries of the last 10 s would exceed 10%
+  /// of the first attempts of that time, and another retry took place less than 1 s ago.
+  bool TryRetry();
+
+ private:
+  // 10 slots of 1 s: long enough that a node with few requests still averages, short enough that
+  // first attempts before a surge do not pay for retries during it.
+  static constexpr std::size_t kSlots = 10;
+
+  struct Slot {
+    std::int64_t second = -1;
+    std::uint32_t first_attempts = 0;
+    std::uint32_t retries = 0;
+  };
+
+  Slot& CurrentSlot(std::int64_t second);
+
+  const Clock& clock;
+  std::array<Slot, kSlots> slots{};
+  TimePoint next_guaranteed{};
+};
+
+}  // namespace masticpin
--- /dev/null
+++ b/masticpin/execution/inner_call_table.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "masticpin/base/random_source.h"
+#include "masticpin/execution/begin_result.h"
+#include "masticpin/execution/execution_context.h"
+
+namespace masticpin {
+
+/// What is left of an execution when it ends.
+struct ContextSummary {
+  /// Attempts used by the execution; what is still granted to inner calls counts as used.
+  std::uint32_t attempts_used = 0;
+  /// Whether a non-idempotent inner call ran or may have run. If so, the upstream's "not run" must
+  /// not be believed: a second run of the execution would repeat the inner call.
+  bool inner_may_have_run = false;
+};
+
+/// One inner call as its upstream describes it.
+struct InnerCall {
+  std::string service;
+  std::string kind;
+  /// Value of Masticpin-Step, often empty.
+  std::string step;
+  bool idempotent = false;
+  /// Attempts that one complete run needs.
+  std::uint32_t cost = 1;
+};
+
+/// The executions that run on this node and the inner calls that they made.
+class InnerCallTable {
+ public:
+  /// `random` gives the context values, which must not be guessable: 128 bits each.
+  explicit InnerCallTable(RandomSource& random) : random(random) {}
+
+  /// Opens the context of an execution that is about to start on the upstream.
+  Ref<ExecutionContext> Open(ContextTerms terms);
+
+  /// Returns the context of a Masticpin-Context value, or null if it has ended.
+  Ref<ExecutionContext> Find(std::string_view token) const;
+
+  /// Decides about one inner call. A non-idempotent call with the same service, kind and step as an
+  /// earlier one joins it or gets its response; an idempotent call always starts. Refusals:
+  /// kCancelledBeforeStart (the execution has ended), kAttemptsExhausted, kAlreadyComplete, or the
+  /// unknown outcome with which the call ended.
+  BeginResult BeginInner(std::string_view token, const InnerCall& call, LedgerWaiter& waiter);
+
+  /// Ends an inner call and calls its waiters. After a "not run" the upstream may repeat the step.
+  void Finish(LedgerEntry& entry, ActionResult result);
+
+  /// Ends an execution. Later inner calls of it are refused.
+  ContextSummary Close(ExecutionContext& context);
+
+  /// Number of open executions.
+  std::size_t Size() const { return this->contexts.size(); }
+
+ private:
+  RandomSource& random;
+  std::unordered_map<std::string_view, Ref<ExecutionContext>> contexts;
+};
+
+}  // namespace masticpin
--- /dev/null
+++ b/masticpin/execution/ledger_entry.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <boost/intrusive/list.hpp>
+#include <boost/intrusive/unordered_set_hook.hpp>
+#include <cstdint>
+#include <optional>
+
+#include "masticpin/attempts/attempt_budget.h"
+#include "masticpin/base/ref_counted.h"
+#include "masticpin/execution/ledger_waiter.h"
+#include "masticpin/execution/stored_response.h"
+
+namespace masticpin {
+
+class ExecutionContext;
+
+/// What the manifest says about an action.
+struct ActionTerms {
+  bool idempotent = false;
+  /// Attempts that the whole action may cause.
+  std::uint32_t attempts = 1;
+  /// How often the caller may send the action, the first time included; at most 255.
+  std::uint32_t caller_tries = 1;
+  /// Attempts that one complete run needs.
+  std::uint32_t cost = 1;
+};
+
+/// One action or one inner call. The dispatcher and the calls that wait hold references.
+class LedgerEntry : public RefCounted<LedgerEntry> {
+ public:
+  /// An entry with attempts of its own, or, if `parent` is set, with those of the parent execution.
+  explicit LedgerEntry(const ActionTerms& terms, Ref<ExecutionContext> parent = {});
+  ~LedgerEntry();
+  LedgerEntry(const LedgerEntry&) = delete;
+  LedgerEntry& operator=(const LedgerEntry&) = delete;
+
+  bool Idempotent() const { return this->idempotent; }
+  std::uint32_t Cost() const { return this->cost; }
+  bool Running() const { return this->state == State::kRunning; }
+
+  /// False when every caller has left, so that the run may be cancelled.
+  bool HasWaiters() const { return !this->waiters.empty(); }
+
+  /// Attempts that pay for the dispatches of this entry.
+  AttemptBudget& Budget();
+
+  /// Whether a dispatch of an earlier or the present try may have run.
+  bool MayHaveRun() const { return this->unknown.has_value(); }
+
+  /// Records that a dispatch ended with an unknown outcome. From then on no refusal of this entry
+  /// may be reported as "not run".
+  void NoteUnknown(ErrorKind kind) { this->unknown = this->unknown.value_or(kind); }
+
+ private:
+  friend class ActionLedger;
+  friend class InnerCallTable;
+  friend struct LedgerEntrySequence;
+
+  enum class State : std::uint8_t {
+    // May be started by the next request.
+    kFresh,
+    kRunning,
+    // Complete; the response may be stored.
+    kComplete,
+    // Ended with an unknown outcome, never run again.
+    kUnknown,
+    // Refused, and the attempts or the caller's tries are used up.
+    kExhausted,
+  };
+
+  using Hook = boost::intrusive::list_member_hook<
+      boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
+  using Waiters = boost::intrusive::list<LedgerWaiter, boost::intrusive::constant_time_size<false>>;
+
+  /// The error to report for `error`: a refusal after an unknown outcome stays unknown.
+  ErrorKind Truthful(ErrorKind error) const;
+  /// Calls and removes all waiters.
+  void Notify(const ActionResult& result);
+  bool CanStartAgain();
+
+  // The hooks of the ledger: hash table, expiry list of the epoch, list of stored responses.
+  boost::intrusive::unordered_set_member_hook<> by_sequence;
+  Hook by_epoch;
+  Hook by_response;
+  Waiters waiters;
+  Ref<const StoredResponse> response;
+  Ref<ExecutionContext> parent;
+  AttemptBudget own_budget;
+  std::uint64_t sequence = 0;
+  std::uint32_t epoch = 0;
+  std::uint32_t cost;
+  std::uint8_t generation = 0;
+  std::uint8_t tries_left;
+  State state = State::kFresh;
+  bool idempotent;
+  std::optional<ErrorKind> unknown;
+};
+
+}  // namespace masticpin
--- /dev/null
+++ b/masticpin/execution/ledger_waiter.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <boost/intrusive/list_hook.hpp>
+
+#include "masticpin/execution/action_result.h"
+
+namespace masticpin {
+
+class LedgerEntry;
+
+/// A call that waits for the end of an action. It stops waiting when it is destroyed.
+class LedgerWaiter : public boost::intrusive::list_base_hook<
+                         boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
+ public:
+  LedgerWaiter() = default;
+  LedgerWaiter(const LedgerWaiter&) = delete;
+  LedgerWaiter& operator=(const LedgerWaiter&) = delete;
+  virtual ~LedgerWaiter() = default;
+
+  /// Called at most once for each Begin(). It may destroy this waiter and call the ledger.
+  virtual void OnFinished(LedgerEntry& entry, const ActionResult& result) = 0;
+
+  /// Stops waiting, because the caller is gone or its deadline has passed.
+  void Leave() {
+    if (this->is_linked()) {
+      this->unlink();
+    }
+  }
+};
+
+}  // namespace masticpin
