--- a/masticpin/error/error_kind.h
+++ b/masticpin/error/error_kind.h
@@ -36,4 +36,12 @@
 /// Number of the last kind.
 inline constexpr int kLastErrorKind = static_cast<int>(ErrorKind::kInternal);
 
+/// Returns the kind for a number that another node sent; kInternal for a number that is not in the
+/// list, because nothing is known about the outcome then.
+constexpr ErrorKind ErrorKindFromWire(std::uint32_t number) {
+  return number >= 1 && number <= static_cast<std::uint32_t>(kLastErrorKind)
+             ? static_cast<ErrorKind>(number)
+             : ErrorKind::kInternal;
+}
+
 }  // namespace masticpin
--- /dev/null
+++ b/net/caller_wait.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <condition_variable>
+#include <optional>
+
+#include "masticpin/execution/action_result.h"
+#include "masticpin/execution/ledger_waiter.h"
+
+namespace masticpin {
+
+/// A thread that waits for the end of an action. Used within sections of the core.
+class CallerWait : public LedgerWaiter {
+ public:
+  void OnFinished(LedgerEntry& entry, const ActionResult& result) override {
+    (void)entry;
+    this->result = result;
+    this->finished.notify_one();
+  }
+
+  std::optional<ActionResult> result;
+  std::condition_variable finished;
+};
+
+}  // namespace masticpin
--- /dev/null
+++ b/net/executor.cc
@@ -0,0 +1,224 @@
+#include "net/executor.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "masticpin/error/answer_table.h"
+#include "masticpin/wire/http_headers.h"
+
+namespace masticpin {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+void AddHeader(wire::HttpRequest& request, const char* name, const std::string& value) {
+  wire::Header* header = request.add_headers();
+  header->set_name(name);
+  header->set_value(value);
+}
+
+wire::ExecuteReply ErrorReply(const wire::ExecutionKey& key, ErrorKind kind, Duration retry_after) {
+  wire::ExecuteReply reply;
+  *reply.mutable_key() = key;
+  reply.set_error(static_cast<std::uint32_t>(kind));
+  reply.set_retry_after_ms(
+      static_cast<std::uint64_t>(duration_cast<milliseconds>(retry_after).count()));
+  return reply;
+}
+
+Completion CompletionOf(std::uint32_t error) {
+  switch (static_cast<ErrorKind>(error)) {
+    case ErrorKind::kUpstreamShed:
+      return Completion::kShed;
+    case ErrorKind::kUpstreamUnreachable:
+      return Completion::kUnreachable;
+    case ErrorKind::kCancelled:
+    case ErrorKind::kCancelledBeforeStart:
+    case ErrorKind::kExpiredBeforeStart:
+      return Completion::kCancelled;
+    default:
+      return error == 0 ? Completion::kSuccess : Completion::kFailed;
+  }
+}
+
+}  // namespace
+
+Executor::Executor(NodeCore& core,
+                   const Clock& clock,
+                   ExecutionTable& table,
+                   AdmissionController& admission,
+                   InnerCallTable& inner_calls,
+                   UpstreamClient& upstream,
+                   WorkerPool& workers,
+                   ReplySender& replies,
+                   NodeMetrics& metrics)
+    : core(core),
+      clock(clock),
+      table(table),
+      admission(admission),
+      inner_calls(inner_calls),
+      upstream(upstream),
+      workers(workers),
+      replies(replies),
+      metrics(metrics) {}
+
+void Executor::Execute(const InstanceId& home, const wire::ExecuteRequest& request) {
+  // A key is accepted at most once; everything after this point ends in one reply.
+  const AcceptResult accepted = this->table.Accept(request.key());
+  switch (accepted.verdict) {
+    case AcceptVerdict::kDuplicateRunning:
+      return;
+    case AcceptVerdict::kDuplicateDone:
+      if (accepted.reply != nullptr) {
+        this->replies.SendReply(home, accepted.reply->Message());
+      } else {
+        this->Refuse(home, request.key(), ErrorKind::kOutcomeLost);
+      }
+      return;
+    case AcceptVerdict::kRefused:
+      this->Refuse(home, request.key(), accepted.error);
+      return;
+    case AcceptVerdict::kNew:
+      break;
+  }
+
+  const Ref<ExecutionJob> job(new ExecutionJob(*this, home, request));
+  this->jobs.emplace(IdOf(request.key()), job);
+
+  // Check the request against the manifest.
+  const KindSpec* kind = this->manifest == nullptr
+                             ? nullptr
+                             : this->manifest->FindKind(request.service(), request.kind());
+  if (kind == nullptr || request.attempts() == 0) {
+    const ErrorKind error = this->manifest == nullptr ? ErrorKind::kNoConfiguration
+                            : kind == nullptr         ? ErrorKind::kNotFound
+                                                      : ErrorKind::kAttemptsExhausted;
+    this->FinishWithError(*job, error, Duration::zero());
+    return;
+  }
+
+  // Ask for admission.
+  job->idempotent = kind->idempotent;
+  job->arrived = this->clock.Now();
+  job->priority.importance =
+      static_cast<std::uint8_t>(std::min<std::uint32_t>(request.importance(), kMaxImportance));
+  job->priority.rank = static_cast<std::uint16_t>(request.rank());
+  // A deadline beyond that of the kind is not valid; the bound also keeps the sum from overflow.
+  const Duration remaining = microseconds(std::min<std::uint64_t>(
+      request.remaining_us(),
+      static_cast<std::uint64_t>(duration_cast<microseconds>(kind->deadline).count())));
+  job->deadline = job->arrived + remaining;
+  this->admission.Offer(*job);
+}
+
+void Executor::Cancel(const wire::ExecutionKey& key) {
+  if (this->table.Cancel(key) != CancelVerdict::kRunning) {
+    return;
+  }
+  const auto found = this->jobs.find(IdOf(key));
+  if (found == this->jobs.end()) {
+    return;
+  }
+  const Ref<ExecutionJob> job = found->second;
+  if (this->admission.Withdraw(*job)) {
+    this->FinishWithError(*job, ErrorKind::kCancelledBeforeStart, Duration::zero());
+  } else {
+    job->call.Cancel();
+  }
+}
+
+void Executor::OnAdmitted(ExecutionJob& job) {
+  this->metrics.wait.Record(this->clock.Now() - job.arrived);
+  this->workers.Post(job);
+}
+
+void Executor::OnRefused(ExecutionJob& job, ErrorKind kind, Duration retry_after) {
+  this->FinishWithError(job, kind, retry_after);
+}
+
+void Executor::RunOnUpstream(const Ref<ExecutionJob>& job) {
+  const Ref<ExecutionContext> context = this->OpenContext(*job);
+  const TimePoint started = this->clock.Now();
+  wire::ExecuteReply reply = boost::leaf::try_handle_all(
+      [&]() -> Result<wire::ExecuteReply> {
+        BOOST_LEAF_AUTO(response, this->upstream.Send(this->MakeUpstreamRequest(*job, *context),
+                                                      job->idempotent, job->deadline, job->call));
+        wire::ExecuteReply complete;
+        *complete.mutable_key() = job->request.key();
+        *complete.mutable_response() = std::move(response);
+        return complete;
+      },
+      [&](ErrorKind kind) { return ErrorReply(job->request.key(), kind, Duration::zero()); },
+      [&] {
+        return ErrorReply(job->request.key(), ErrorKind::kInternal, Duration::zero());
+      });
+  const NodeCore::Section section(this->core);
+  this->EndRun(*job, *context, this->clock.Now() - started, std::move(reply));
+}
+
+Ref<ExecutionContext> Executor::OpenContext(ExecutionJob& job) {
+  const NodeCore::Section section(this->core);
+  ContextTerms terms;
+  terms.attempts = job.request.attempts();
+  terms.priority = job.priority;
+  terms.deadline = job.deadline;
+  terms.action = job.request.action();
+  terms.traceparent = job.request.traceparent();
+  Ref<ExecutionContext> context = this->inner_calls.Open(std::move(terms));
+  context->Budget().Spend(1);
+  return context;
+}
+
+wire::HttpRequest Executor::MakeUpstreamRequest(const ExecutionJob& job,
+                                                const ExecutionContext& context) {
+  wire::HttpRequest request = job.request.request();
+  const auto remaining = duration_cast<milliseconds>(job.deadline - this->clock.Now());
+  AddHeader(request, kContextHeader, context.Token());
+  AddHeader(request, kActionHeader, job.request.action());
+  AddHeader(request, kDeadlineHeader,
+            std::to_string(std::max<std::int64_t>(remaining.count(), 1)));
+  if (!job.request.traceparent().empty()) {
+    AddHeader(request, kTraceparentHeader, job.request.traceparent());
+  }
+  return request;
+}
+
+void Executor::EndRun(ExecutionJob& job,
+                      ExecutionContext& context,
+                      Duration service_time,
+                      wire::ExecuteReply reply) {
+  const ContextSummary summary = this->inner_calls.Close(context);
+  const Completion completion = CompletionOf(reply.error());
+  // A repetition of this execution would repeat the inner call, so the upstream's "not run" cannot
+  // be passed on.
+  if (reply.error() != 0 && IsNotRun(static_cast<ErrorKind>(reply.error())) &&
+      summary.inner_may_have_run) {
+    reply.set_error(static_cast<std::uint32_t>(ErrorKind::kUpstreamBroken));
+  }
+  reply.set_attempts_used(summary.attempts_used);
+  this->metrics.service_time.Record(service_time);
+  const Ref<ExecutionJob> keep(&job);
+  this->admission.Complete(job, completion, service_time);
+  this->Finish(job, std::move(reply));
+}
+
+void Executor::Finish(ExecutionJob& job, wire::ExecuteReply reply) {
+  this->metrics.CountExecution(reply.error());
+  const Ref<const StoredReply> stored(new StoredReply(std::move(reply)));
+  this->table.Finish(job.request.key(), stored);
+  this->replies.SendReply(job.home, stored->Message());
+  this->jobs.erase(IdOf(job.request.key()));
+}
+
+void Executor::FinishWithError(ExecutionJob& job, ErrorKind kind, Duration retry_after) {
+  this->Finish(job, ErrorReply(job.request.key(), kind, retry_after));
+}
+
+void Executor::Refuse(const InstanceId& home, const wire::ExecutionKey& key, ErrorKind kind) {
+  this->metrics.CountExecution(static_cast<std::uint32_t>(kind));
+  this->replies.SendReply(home, ErrorReply(key, kind, Duration::zero()));
+}
+
+}  // namespace masticpin
--- /dev/null
+++ b/net/executor.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <unordered_map>
+
+#include "masticpin/admission/admission_controller.h"
+#include "masticpin/base/clock.h"
+#include "masticpin/execution/execution_table.h"
+#include "masticpin/execution/inner_call_table.h"
+#include "masticpin/manifest/manifest.h"
+#include "net/execution_job.h"
+#include "net/node_core.h"
+#include "net/node_metrics.h"
+#include "net/reply_sender.h"
+#include "net/upstream_client.h"
+#include "net/worker_pool.h"
+
+namespace masticpin {
+
+/// Runs the executions that home nodes send to this instance: accepts each once, asks for
+/// admission, calls the upstream on a worker thread and replies. All functions but RunOnUpstream()
+/// must be called within a section of the core.
+class Executor {
+ public:
+  /// All references must outlive the executor.
+  Executor(NodeCore& core,
+           const Clock& clock,
+           ExecutionTable& table,
+           AdmissionController& admission,
+           InnerCallTable& inner_calls,
+           UpstreamClient& upstream,
+           WorkerPool& workers,
+           ReplySender& replies,
+           NodeMetrics& metrics);
+
+  /// Sets the manifest in force; executions are refused while there is none.
+  void SetManifest(Ref<const Manifest> manifest) { this->manifest = std::move(manifest); }
+
+  /// Decides about one execution that `home` sent.
+  void Execute(const InstanceId& home, const wire::ExecuteRequest& request);
+
+  /// The home no longer waits for the execution.
+  void Cancel(const wire::ExecutionKey& key);
+
+  /// Refuses waiting and new executions; those in progress run to their end.
+  void Drain() { this->admission.Drain(); }
+
+  /// Executions without a reply.
+  std::size_t InProgress() const { return this->jobs.size(); }
+
+ private:
+  friend class ExecutionJob;
+
+  struct JobId {
+    std::uint64_t home_incarnation;
+    std::uint64_t sequence;
+    bool operator==(const JobId&) const = default;
+  };
+  struct JobIdHash {
+    // Both parts are unique per home; the incarnation is already random.
+    std::size_t operator()(const JobId& id) const { return id.home_incarnation ^ id.sequence; }
+  };
+
+  static JobId IdOf(const wire::ExecutionKey& key) { return {key.home_incarnation(), key.sequence()}; }
+
+  void OnAdmitted(ExecutionJob& job);
+  void OnRefused(ExecutionJob& job, ErrorKind kind, Duration retry_after);
+  /// Runs on a worker thread, outside of a section.
+  void RunOnUpstream(const Ref<ExecutionJob>& job);
+  Ref<ExecutionContext> OpenContext(ExecutionJob& job);
+  wire::HttpRequest MakeUpstreamRequest(const ExecutionJob& job, const ExecutionContext& context);
+  void EndRun(ExecutionJob& job,
+              ExecutionContext& context,
+              Duration service_time,
+              wire::ExecuteReply reply);
+  void Finish(ExecutionJob& job, wire::ExecuteReply reply);
+  void FinishWithError(ExecutionJob& job, ErrorKind kind, Duration retry_after);
+  void Refuse(const InstanceId& home, const wire::ExecutionKey& key, ErrorKind kind);
+
+  NodeCore& core;
+  const Clock& clock;
+  ExecutionTable& table;
+  AdmissionController& admission;
+  InnerCallTable& inner_calls;
+  UpstreamClient& upstream;
+  WorkerPool& workers;
+  ReplySender& replies;
+  NodeMetrics& metrics;
+  Ref<const Manifest> manifest;
+  std::unordered_map<JobId, Ref<ExecutionJob>, JobIdHash> jobs;
+};
+
+}  // namespace masticpin
--- /dev/null
+++ b/net/home.cc
@@ -0,0 +1,457 @@
+#include "net/home.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "masticpin/error/answer_table.h"
+#include "net/http_connection.h"
+
+namespace masticpin {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+/// How often a waiting thread looks whether its caller is gone. A caller's retry after a lost
+/// connection takes longer than this.
+constexpr Duration kCallerCheck = milliseconds(50);
+
+/// Time beyond the deadline in which the dispatcher's own timeout reports how the action ended.
+constexpr Duration kDeadlineGrace = milliseconds(100);
+
+/// Longest wait for the re-check after a pause: its bound of 250 ms and one timer period.
+constexpr Duration kReadyWait = milliseconds(350);
+constexpr Duration kReadyCheck = milliseconds(5);
+
+/// Importance from which a request is served on a connection above the bound.
+constexpr std::uint8_t kOverflowImportance = 5;
+
+bool CallerIsGone() {
+  const HttpConnection* connection = HttpConnection::Current();
+  return connection != nullptr && connection->IsClosedByPeer();
+}
+
+std::optional<ActionKey> ParseKey(const std::string& text) {
+  return boost::leaf::try_handle_all(
+      [&]() -> Result<std::optional<ActionKey>> {
+        BOOST_LEAF_AUTO(key, ActionKey::Parse(text));
+        return std::optional<ActionKey>(std::move(key));
+      },
+      [] { return std::optional<ActionKey>(); });
+}
+
+}  // namespace
+
+/// A request of another node that waits for the end of an action here.
+class Home::ForwardedWait : public LedgerWaiter {
+ public:
+  ForwardedWait(Home& home, InstanceId ingress, std::uint64_t call_id)
+      : home(home), ingress(std::move(ingress)), call_id(call_id) {}
+
+  void OnFinished(LedgerEntry& entry, const ActionResult& result) override {
+    (void)entry;
+    this->Reply(this->home.ResponseOf(result));
+    delete this;
+  }
+
+  void Reply(CallerResponse response) const {
+    this->home.AddNextKey(response);
+    wire::HomeReply reply;
+    reply.set_call_id(this->call_id);
+    if (response.error.has_value()) {
+      reply.set_error(static_cast<std::uint32_t>(*response.error));
+    } else {
+      *reply.mutable_response() = std::move(response.http);
+    }
+    reply.set_retry_after_ms(
+        static_cast<std::uint64_t>(duration_cast<milliseconds>(response.retry_after).count()));
+    reply.set_key(response.key);
+    reply.set_next_key(response.next_key);
+    reply.set_next_key_life_ms(
+        static_cast<std::uint64_t>(duration_cast<milliseconds>(response.next_key_life).count()));
+    this->home.channel.SendHomeReply(this->ingress, std::move(reply));
+  }
+
+ private:
+  Home& home;
+  const InstanceId ingress;
+  const std::uint64_t call_id;
+};
+
+/// A request that this node passed on to the home of its key.
+struct Home::PendingForward {
+  std::optional<wire::HomeReply> reply;
+  std::condition_variable replied;
+};
+
+Home::Home(NodeCore& core,
+           const Clock& clock,
+           KeyMint& mint,
+           ActionLedger& ledger,
+           InnerCallTable& inner_calls,
+           FleetState& fleet,
+           HomeChannel& channel,
+           NodeMetrics& metrics)
+    : core(core),
+      clock(clock),
+      mint(mint),
+      ledger(ledger),
+      inner_calls(inner_calls),
+      fleet(fleet),
+      channel(channel),
+      metrics(metrics) {}
+
+Home::~Home() = default;
+
+CallerResponse Home::Handle(const CallerRequest& request) {
+  NodeCore::Section section(this->core);
+  ++this->handling;
+  const TimePoint started = this->clock.Now();
+  const bool ready = this->WaitUntilReady(section);
+  CallerResponse response;
+  const KindSpec* kind = nullptr;
+  if (!request.context.empty()) {
+    response = this->HandleInner(section, request);
+  } else if (!ready || this->manifest == nullptr) {
+    // Only the home of a key can say that its action was not run.
+    response = this->ErrorResponse(request.key.empty() ? ErrorKind::kNoConfiguration
+                                                       : ErrorKind::kPeerLost);
+  } else if (kind = this->manifest->FindKind(request.service, request.kind); kind == nullptr) {
+    response = this->ErrorResponse(ErrorKind::kNotFound);
+  } else {
+    response = this->HandleRoot(section, request, *kind);
+  }
+  this->metrics.CountCaller(response.error);
+  this->metrics.caller_time.Record(this->clock.Now() - started);
+  --this->handling;
+  return response;
+}
+
+bool Home::WaitUntilReady(NodeCore::Section& section) {
+  const TimePoint end = this->clock.Now() + kReadyWait;
+  std::condition_variable unused;
+  while (!this->fleet.Ready()) {
+    if (this->clock.Now() >= end) {
+      return false;
+    }
+    this->core.RunDeferred();
+    unused.wait_for(section.Lock(), kReadyCheck);
+  }
+  return true;
+}
+
+CallerResponse Home::HandleInner(NodeCore::Section& section, const CallerRequest& request) {
+  // The call belongs to an execution that runs on this node's upstream.
+  const Ref<ExecutionContext> context = this->inner_calls.Find(request.context);
+  const KindSpec* kind = this->manifest == nullptr
+                             ? nullptr
+                             : this->manifest->FindKind(request.service, request.kind);
+  if (context == nullptr) {
+    return this->ErrorResponse(ErrorKind::kCancelledBeforeStart);
+  }
+  if (kind == nullptr) {
+    return this->ErrorResponse(ErrorKind::kNotFound);
+  }
+  const TimePoint deadline =
+      std::min(context->Terms().deadline, this->DeadlineOf(request, *kind));
+
+  InnerCall call;
+  call.service = request.service;
+  call.kind = request.kind;
+  call.step = request.step;
+  call.idempotent = kind->idempotent;
+  call.cost = kind->cost;
+  CallerWait wait;
+  const BeginResult begun = this->inner_calls.BeginInner(request.context, call, wait);
+  if (begun.verdict == BeginVerdict::kStart) {
+    DispatchOrder order =
+        this->MakeOrder(*kind, context->Terms().priority, deadline, request.http);
+    order.action = context->Terms().action;
+    order.traceparent = context->Terms().traceparent;
+    this->dispatcher->Dispatch(begun.entry, std::move(order));
+  } else if (begun.verdict != BeginVerdict::kJoined) {
+    return this->ResponseOf(begun);
+  }
+  return this->Await(section, *begun.entry, wait, deadline);
+}
+
+CallerResponse Home::HandleRoot(NodeCore::Section& section,
+                                const CallerRequest& request,
+                                const KindSpec& kind) {
+  // A request without a key.
+  if (request.key.empty()) {
+    if (this->draining) {
+      return this->ErrorResponse(ErrorKind::kDraining);
+    }
+    if (kind.key_required) {
+      return this->ErrorWithFreshKey(ErrorKind::kKeyRequired);
+    }
+    return this->HandleKeyless(section, request, kind);
+  }
+
+  // A key that was issued elsewhere.
+  const std::optional<ActionKey> key = ParseKey(request.key);
+  if (!key.has_value()) {
+    return this->ErrorWithFreshKey(ErrorKind::kKeyInvalid);
+  }
+  if (key->home.name != this->mint.Self().name) {
+    return this->Forward(section, *key, request, kind);
+  }
+
+  // A key that was issued here, or by an earlier process of this instance.
+  const TimePoint deadline = this->DeadlineOf(request, kind);
+  if (request.overflow && kind.importance < kOverflowImportance) {
+    return this->ResponseOf(
+        this->ledger.Close(*key, TermsOf(kind), ErrorKind::kOverloaded));
+  }
+  CallerWait wait;
+  const BeginResult begun = this->ledger.Begin(*key, TermsOf(kind), wait);
+  CallerResponse response;
+  if (begun.verdict == BeginVerdict::kStart) {
+    DispatchOrder order =
+        this->MakeOrder(kind, {kind.importance, key->Rank()}, deadline, request.http);
+    order.action = key->ToText();
+    order.traceparent = request.traceparent;
+    this->dispatcher->Dispatch(begun.entry, std::move(order));
+    response = this->Await(section, *begun.entry, wait, deadline);
+  } else if (begun.verdict == BeginVerdict::kJoined) {
+    response = this->Await(section, *begun.entry, wait, deadline);
+  } else {
+    response = this->ResponseOf(begun);
+  }
+  this->AddNextKey(response);
+  return response;
+}
+
+CallerResponse Home::HandleKeyless(NodeCore::Section& section,
+                                   const CallerRequest& request,
+                                   const KindSpec& kind) {
+  if (request.overflow && kind.importance < kOverflowImportance) {
+    return this->ErrorResponse(ErrorKind::kOverloaded);
+  }
+  CallerWait wait;
+  const BeginResult begun = this->ledger.BeginKeyless(TermsOf(kind), wait);
+  if (begun.verdict != BeginVerdict::kStart) {
+    return this->ResponseOf(begun);
+  }
+  // The key names the action in traces and gives it a rank; the caller never sees it.
+  const ActionKey key = this->mint.Mint();
+  const TimePoint deadline = this->DeadlineOf(request, kind);
+  DispatchOrder order =
+      this->MakeOrder(kind, {kind.importance, key.Rank()}, deadline, request.http);
+  order.action = key.ToText();
+  order.traceparent = request.traceparent;
+  this->dispatcher->Dispatch(begun.entry, std::move(order));
+  return this->Await(section, *begun.entry, wait, deadline);
+}
+
+CallerResponse Home::Forward(NodeCore::Section& section,
+                             const ActionKey& key,
+                             const CallerRequest& request,
+                             const KindSpec& kind) {
+  const Ref<const Member> member = this->fleet.Members().Find(key.home.name);
+  if (this->fleet.Members().IsDeparted(key.home.incarnation)) {
+    return this->ErrorResponse(ErrorKind::kOutcomeLost);
+  }
+  if (member == nullptr) {
+    // This node may be too new to know the home, so it cannot say that the outcome is lost.
+    return this->ErrorResponse(ErrorKind::kPeerLost);
+  }
+  const TimePoint deadline = this->DeadlineOf(request, kind);
+  PendingForward pending;
+  const std::uint64_t call_id = this->next_call_id++;
+  this->forwards.emplace(call_id, &pending);
+
+  wire::HomeRequest message;
+  message.set_call_id(call_id);
+  message.set_service(request.service);
+  message.set_kind(request.kind);
+  message.set_action_key(request.key);
+  message.set_remaining_us(static_cast<std::uint64_t>(
+      duration_cast<microseconds>(deadline - this->clock.Now()).count()));
+  message.set_traceparent(request.traceparent);
+  *message.mutable_request() = request.http;
+  this->channel.SendHomeRequest(member->id, std::move(message));
+  this->core.RunDeferred();
+  pending.replied.wait_until(section.Lock(), deadline + kDeadlineGrace,
+                             [&pending] { return pending.reply.has_value(); });
+  this->forwards.erase(call_id);
+
+  if (!pending.reply.has_value()) {
+    return this->ErrorResponse(ErrorKind::kPeerLost);
+  }
+  CallerResponse response;
+  wire::HomeReply& reply = *pending.reply;
+  if (reply.error() != 0) {
+    response.error = ErrorKindFromWire(reply.error());
+  } else {
+    response.http = std::move(*reply.mutable_response());
+  }
+  response.retry_after = milliseconds(reply.retry_after_ms());
+  response.key = reply.key();
+  response.next_key = reply.next_key();
+  response.next_key_life = milliseconds(reply.next_key_life_ms());
+  return response;
+}
+
+void Home::OnHomeRequest(const InstanceId& ingress, const wire::HomeRequest& request) {
+  auto wait = std::make_unique<ForwardedWait>(*this, ingress, request.call_id());
+  const KindSpec* kind = this->manifest == nullptr
+                             ? nullptr
+                             : this->manifest->FindKind(request.service(), request.kind());
+  const std::optional<ActionKey> key = ParseKey(request.action_key());
+  if (kind == nullptr || !key.has_value()) {
+    wait->Reply(this->ErrorResponse(!key.has_value()            ? ErrorKind::kKeyInvalid
+                                    : this->manifest == nullptr ? ErrorKind::kPeerLost
+                                                                : ErrorKind::kNotFound));
+    return;
+  }
+  const BeginResult begun = this->ledger.Begin(*key, TermsOf(*kind), *wait);
+  if (begun.verdict == BeginVerdict::kJoined) {
+    (void)wait.release();
+    return;
+  }
+  if (begun.verdict != BeginVerdict::kStart) {
+    wait->Reply(this->ResponseOf(begun));
+    return;
+  }
+  (void)wait.release();
+  const Duration remaining = std::min<Duration>(
+      kind->deadline, microseconds(std::min<std::uint64_t>(
+                          request.remaining_us(),
+                          static_cast<std::uint64_t>(
+                              duration_cast<microseconds>(kind->deadline).count()))));
+  DispatchOrder order = this->MakeOrder(*kind, {kind->importance, key->Rank()},
+                                        this->clock.Now() + remaining, request.request());
+  order.action = request.action_key();
+  order.traceparent = request.traceparent();
+  this->dispatcher->Dispatch(begun.entry, std::move(order));
+}
+
+void Home::OnHomeReply(const wire::HomeReply& reply) {
+  const auto found = this->forwards.find(reply.call_id());
+  if (found == this->forwards.end()) {
+    ++this->metrics.dropped_replies;
+    return;
+  }
+  found->second->reply = reply;
+  found->second->replied.notify_one();
+}
+
+void Home::Drain() {
+  this->draining = true;
+  this->ledger.Drain();
+}
+
+void Home::OnDispatched(LedgerEntry& entry,
+                        const ActionResult& result,
+                        std::uint32_t attempts_used) {
+  this->metrics.attempts += attempts_used;
+  if (entry.IsInner()) {
+    this->inner_calls.Finish(entry, result);
+  } else {
+    this->ledger.Finish(entry, result);
+  }
+}
+
+CallerResponse Home::Await(NodeCore::Section& section,
+                           LedgerEntry& entry,
+                           CallerWait& wait,
+                           TimePoint deadline) {
+  const Ref<LedgerEntry> keep(&entry);
+  const TimePoint end = deadline + kDeadlineGrace;
+  this->core.RunDeferred();
+  while (!wait.result.has_value()) {
+    const TimePoint now = this->clock.Now();
+    const bool gone = CallerIsGone();
+    if (gone || now >= end) {
+      wait.Leave();
+      this->Abandon(entry);
+      return this->ErrorResponse(gone ? ErrorKind::kCancelled : ErrorKind::kDeadlineExceeded);
+    }
+    wait.finished.wait_until(section.Lock(), std::min(end, now + kCallerCheck));
+  }
+  return this->ResponseOf(*wait.result);
+}
+
+void Home::Abandon(LedgerEntry& entry) {
+  // A non-idempotent action runs to its end, because a retry with its key can still get the
+  // response; a cancelled one would remain unknown.
+  if (!entry.HasWaiters() && entry.Running() && entry.Idempotent()) {
+    this->dispatcher->Cancel(entry);
+  }
+}
+
+ActionTerms Home::TermsOf(const KindSpec& kind) {
+  ActionTerms terms;
+  terms.idempotent = kind.idempotent;
+  terms.attempts = kind.attempts;
+  terms.caller_tries = kind.caller_tries;
+  terms.cost = kind.cost;
+  return terms;
+}
+
+DispatchOrder Home::MakeOrder(const KindSpec& kind,
+                              Priority priority,
+                              TimePoint deadline,
+                              wire::HttpRequest http) const {
+  DispatchOrder order;
+  order.service = kind.service;
+  order.kind = kind.name;
+  order.priority = priority;
+  order.deadline = deadline;
+  order.request = std::move(http);
+  return order;
+}
+
+CallerResponse Home::ResponseOf(const ActionResult& result) const {
+  if (!result.error.has_value()) {
+    CallerResponse response;
+    response.http = result.response->Message();
+    return response;
+  }
+  CallerResponse response = this->ErrorResponse(*result.error);
+  response.retry_after = result.retry_after;
+  if (result.successor.has_value()) {
+    response.key = result.successor->ToText();
+  }
+  return response;
+}
+
+CallerResponse Home::ResponseOf(const BeginResult& begun) const {
+  if (begun.verdict == BeginVerdict::kReplay) {
+    return this->ResponseOf(ActionResult::Complete(begun.response));
+  }
+  ActionResult result = ActionResult::Failed(begun.error);
+  result.successor = begun.successor;
+  return this->ResponseOf(result);
+}
+
+CallerResponse Home::ErrorResponse(ErrorKind kind) const {
+  CallerResponse response;
+  response.error = kind;
+  return response;
+}
+
+CallerResponse Home::ErrorWithFreshKey(ErrorKind kind) {
+  CallerResponse response = this->ErrorResponse(kind);
+  response.key = this->mint.Mint().ToText();
+  return response;
+}
+
+void Home::AddNextKey(CallerResponse& response) {
+  const bool ended = !response.error.has_value() ||
+                     *response.error == ErrorKind::kAlreadyComplete;
+  if (ended && !this->draining) {
+    const ActionKey key = this->mint.Mint();
+    response.next_key = key.ToText();
+    response.next_key_life = this->mint.RemainingLife(key);
+  }
+}
+
+TimePoint Home::DeadlineOf(const CallerRequest& request, const KindSpec& kind) const {
+  return this->clock.Now() + std::min(kind.deadline, request.deadline.value_or(kind.deadline));
+}
+
+}  // namespace masticpin
--- /dev/null
+++ b/net/home.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include <string>
+#include <unordered_map>
+
+#include "masticpin/attempts/retry_ratio.h"
+#include "masticpin/execution/action_ledger.h"
+#include "masticpin/execution/home_dispatcher.h"
+#include "masticpin/execution/inner_call_table.h"
+#include "masticpin/execution/key_mint.h"
+#include "masticpin/fleet/fleet_state.h"
+#include "masticpin/manifest/manifest.h"
+#include "net/caller_request.h"
+#include "net/caller_response.h"
+#include "net/caller_wait.h"
+#include "net/home_channel.h"
+#include "net/node_core.h"
+#include "net/node_metrics.h"
+
+namespace masticpin {
+
+/// Serves the requests of callers and of the own upstream: finds the home of a request, and is the
+/// home of those whose key was issued here. Handle() waits on the calling thread; all other
+/// functions must be called within a section of the core.
+class Home : public DispatchObserver {
+ public:
+  /// All references must outlive this object.
+  Home(NodeCore& core,
+       const Clock& clock,
+       KeyMint& mint,
+       ActionLedger& ledger,
+       InnerCallTable& inner_calls,
+       FleetState& fleet,
+       HomeChannel& channel,
+       NodeMetrics& metrics);
+  ~Home() override;
+
+  /// Must be called once before the first request.
+  void SetDispatcher(HomeDispatcher& dispatcher) { this->dispatcher = &dispatcher; }
+  void SetManifest(Ref<const Manifest> manifest) { this->manifest = std::move(manifest); }
+
+  /// Serves one request and returns its response.
+  CallerResponse Handle(const CallerRequest& request);
+
+  /// Another node passes a request on whose key was issued here.
+  void OnHomeRequest(const InstanceId& ingress, const wire::HomeRequest& request);
+  void OnHomeReply(const wire::HomeReply& reply);
+
+  /// Refuses new actions; those in progress run to their end.
+  void Drain();
+
+  /// Requests that wait for a response, and actions that run.
+  std::size_t InProgress() const { return this->handling + this->ledger.Running(); }
+
+  // DispatchObserver:
+  void OnDispatched(LedgerEntry& entry,
+                    const ActionResult& result,
+                    std::uint32_t attempts_used) override;
+
+ private:
+  class ForwardedWait;
+  struct PendingForward;
+
+  /// Waits until decisions may be made, which a pause of the process delays by up to 250 ms.
+  bool WaitUntilReady(NodeCore::Section& section);
+  CallerResponse HandleInner(NodeCore::Section& section, const CallerRequest& request);
+  CallerResponse HandleRoot(NodeCore::Section& section,
+                            const CallerRequest& request,
+                            const KindSpec& kind);
+  CallerResponse HandleKeyless(NodeCore::Section& section,
+                               const CallerRequest& request,
+                               const KindSpec& kind);
+  CallerResponse Forward(NodeCore::Section& section,
+                         const ActionKey& key,
+                         const CallerRequest& request,
+                         const KindSpec& kind);
+  /// Waits for the end of a begun action.
+  CallerResponse Await(NodeCore::Section& section,
+                       LedgerEntry& entry,
+                       CallerWait& wait,
+                       TimePoint deadline);
+  /// Nobody waits for `entry` any longer.
+  void Abandon(LedgerEntry& entry);
+
+  static ActionTerms TermsOf(const KindSpec& kind);
+  DispatchOrder MakeOrder(const KindSpec& kind,
+                          Priority priority,
+                          TimePoint deadline,
+                          wire::HttpRequest http) const;
+  CallerResponse ResponseOf(const ActionResult& result) const;
+  CallerResponse ResponseOf(const BeginResult& begun) const;
+  CallerResponse ErrorResponse(ErrorKind kind) const;
+  /// An error together with a key for the first or next try.
+  CallerResponse ErrorWithFreshKey(ErrorKind kind);
+  void AddNextKey(CallerResponse& response);
+  TimePoint DeadlineOf(const CallerRequest& request, const KindSpec& kind) const;
+
+  NodeCore& core;
+  const Clock& clock;
+  KeyMint& mint;
+  ActionLedger& ledger;
+  InnerCallTable& inner_calls;
+  FleetState& fleet;
+  HomeChannel& channel;
+  NodeMetrics& metrics;
+  HomeDispatcher* dispatcher = nullptr;
+  Ref<const Manifest> manifest;
+  std::unordered_map<std::uint64_t, PendingForward*> forwards;
+  std::uint64_t next_call_id = 1;
+  std::size_t handling = 0;
+  bool draining = false;
+};
+
+}  // namespace masticpin
--- /dev/null
+++ b/net/http_front.cc
@@ -0,0 +1,213 @@
+#include "net/http_front.h"
+
+#include <strings.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "masticpin/error/answer_table.h"
+#include "masticpin/wire/http_headers.h"
+
+namespace masticpin {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr char kJson[] = "application/json";
+constexpr char kProblemJson[] = "application/problem+json";
+
+/// Header fields that end at the node: those of one connection, those that cpp-httplib adds itself
+/// and those that the node sets on its own request to the upstream.
+bool IsForUpstream(const std::string& name) {
+  static constexpr std::array<const char*, 16> kNames = {
+      "Connection",      "Keep-Alive",     "Transfer-Encoding", "Content-Length",
+      "Host",            "REMOTE_ADDR",    "REMOTE_PORT",       "LOCAL_ADDR",
+      "LOCAL_PORT",      "Accept-Encoding", kIdempotencyKeyHeader, kDeadlineHeader,
+      kContextHeader,    kStepHeader,      kActionHeader,       kTraceparentHeader};
+  return std::none_of(kNames.begin(), kNames.end(),
+                      [&name](const char* other) { return strcasecmp(name.c_str(), other) == 0; });
+}
+
+/// Takes "/<service>/<kind>[/...]" apart. Returns false for any other path.
+bool ParsePath(const std::string& path, CallerRequest& request) {
+  const auto service_end = path.find('/', 1);
+  if (path.empty() || path[0] != '/' || service_end == std::string::npos) {
+    return false;
+  }
+  const auto kind_end = path.find('/', service_end + 1);
+  request.service = path.substr(1, service_end - 1);
+  request.kind = path.substr(service_end + 1, kind_end == std::string::npos
+                                                  ? std::string::npos
+                                                  : kind_end - service_end - 1);
+  return !request.service.empty() && !request.kind.empty();
+}
+
+/// Returns false if the header is there and is not a positive number.
+bool ParseDeadline(const httplib::Request& http, CallerRequest& request) {
+  if (!http.has_header(kDeadlineHeader)) {
+    return true;
+  }
+  const std::string text = http.get_header_value(kDeadlineHeader);
+  std::uint32_t value = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc() || end != text.data() + text.size() || value == 0) {
+    return false;
+  }
+  request.deadline = milliseconds(value);
+  return true;
+}
+
+bool ParseCaller(const httplib::Request& http, CallerRequest& request) {
+  if (!ParsePath(http.path, request) || !ParseDeadline(http, request)) {
+    return false;
+  }
+  request.key = http.get_header_value(kIdempotencyKeyHeader);
+  request.context = http.get_header_value(kContextHeader);
+  request.step = http.get_header_value(kStepHeader);
+  request.traceparent = http.get_header_value(kTraceparentHeader);
+  request.overflow = HttpServer::InOverflow();
+  request.http.set_method(http.method);
+  request.http.set_target(http.target);
+  request.http.set_body(http.body);
+  for (const auto& [name, value] : http.headers) {
+    if (IsForUpstream(name)) {
+      wire::Header* header = request.http.add_headers();
+      header->set_name(name);
+      header->set_value(value);
+    }
+  }
+  return true;
+}
+
+void WriteProblem(ErrorKind kind, httplib::Response& response) {
+  const Answer& answer = GetAnswer(kind);
+  nlohmann::json problem;
+  problem["type"] = "urn:masticpin:error:" + std::string(answer.name);
+  problem["title"] = answer.text;
+  problem["status"] = answer.http_status;
+  problem["outcome"] = OutcomeName(answer.outcome);
+  response.status = answer.http_status;
+  response.set_header(kOutcomeHeader, std::string(OutcomeName(answer.outcome)));
+  response.set_header(kErrorHeader, std::string(answer.name));
+  response.set_content(problem.dump(), kProblemJson);
+}
+
+void WriteComplete(const wire::HttpResponse& http, httplib::Response& response) {
+  response.status = static_cast<int>(http.status());
+  std::string content_type = "application/octet-stream";
+  for (const wire::Header& header : http.headers()) {
+    if (strcasecmp(header.name().c_str(), "Content-Type") == 0) {
+      content_type = header.value();
+    } else {
+      response.headers.emplace(header.name(), header.value());
+    }
+  }
+  response.set_content(http.body(), content_type);
+  response.headers.erase(kOutcomeHeader);
+  response.set_header(kOutcomeHeader, std::string(OutcomeName(Outcome::kComplete)));
+}
+
+void WriteCaller(const CallerResponse& answer, httplib::Response& response) {
+  if (answer.error.has_value()) {
+    WriteProblem(*answer.error, response);
+  } else {
+    WriteComplete(answer.http, response);
+  }
+  if (answer.retry_after > Duration::zero()) {
+    const auto delay = duration_cast<milliseconds>(answer.retry_after);
+    response.set_header(kRetryAfterMsHeader, std::to_string(delay.count()));
+    // Retry-After has whole seconds only; rounded up, so that nobody comes back early.
+    response.set_header("Retry-After", std::to_string((delay.count() + 999) / 1000));
+  }
+  if (!answer.key.empty()) {
+    response.set_header(kIdempotencyKeyHeader, answer.key);
+  }
+  if (!answer.next_key.empty()) {
+    const auto life = duration_cast<seconds>(answer.next_key_life).count();
+    response.set_header(kNextKeyHeader, answer.next_key + "; life=" + std::to_string(life));
+  }
+}
+
+}  // namespace
+
+HttpFront::HttpFront(const HttpServerOptions& options, CallerHandler& handler)
+    : handler(handler), server(options) {
+  this->RegisterRoutes();
+}
+
+HttpFront::~HttpFront() {
+  this->Stop();
+}
+
+int HttpFront::Start(const std::string& address) {
+  const int port = this->server.Bind(address);
+  if (port >= 0) {
+    this->listener = std::thread([this] { this->server.listen_after_bind(); });
+  }
+  return port;
+}
+
+void HttpFront::Stop() {
+  if (this->listener.joinable()) {
+    this->server.Stop();
+    this->listener.join();
+  }
+}
+
+void HttpFront::RegisterRoutes() {
+  // Operators.
+  this->server.Get("/_masticpin/status", [this](const auto&, auto& response) {
+    response.set_content(this->handler.StatusJson(), kJson);
+  });
+  this->server.Get("/_masticpin/metrics", [this](const auto&, auto& response) {
+    response.set_content(this->handler.MetricsText(), "text/plain; version=0.0.4");
+  });
+  this->server.Get("/_masticpin/traces", [this](const auto& request, auto& response) {
+    response.set_content(this->handler.TracesJson(request.get_param_value("trace")), kJson);
+  });
+  this->server.Post("/_masticpin/drain", [this](const auto&, auto& response) {
+    this->handler.BeginDrain();
+    response.status = 202;
+    response.set_content("{\"state\":\"draining\"}", kJson);
+  });
+
+  // Callers and the upstream.
+  const auto handle = [this](const httplib::Request& request, httplib::Response& response) {
+    this->HandleCaller(request, response);
+  };
+  this->server.Get("/.*", handle);
+  this->server.Post("/.*", handle);
+  this->server.Put("/.*", handle);
+  this->server.Patch("/.*", handle);
+  this->server.Delete("/.*", handle);
+
+  // A request that cpp-httplib refuses by itself (too large, not valid) never reached a handler.
+  this->server.set_error_handler([](const httplib::Request&, httplib::Response& response) {
+    if (!response.has_header(kOutcomeHeader)) {
+      const int status = response.status;
+      WriteProblem(status == 413 ? ErrorKind::kBodyTooLarge : ErrorKind::kMalformedRequest,
+                   response);
+      response.status = status;
+    }
+  });
+  this->server.set_exception_handler(
+      [](const httplib::Request&, httplib::Response& response, const std::exception_ptr&) {
+        WriteProblem(ErrorKind::kInternal, response);
+      });
+}
+
+void HttpFront::HandleCaller(const httplib::Request& request, httplib::Response& response) {
+  CallerRequest caller;
+  if (!ParseCaller(request, caller)) {
+    WriteProblem(ErrorKind::kMalformedRequest, response);
+    return;
+  }
+  WriteCaller(this->handler.Handle(caller), response);
+}
+
+}  // namespace masticpin
--- /dev/null
+++ b/net/http_front.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <string>
+#include <thread>
+
+#include "net/caller_handler.h"
+#include "net/http_server.h"
+
+namespace masticpin {
+
+/// HTTP interface of a node towards callers, its upstream and operators.
+class HttpFront {
+ public:
+  /// `handler` must outlive the front.
+  HttpFront(const HttpServerOptions& options, CallerHandler& handler);
+  ~HttpFront();
+
+  /// Binds to "ip:port" and starts to serve. Returns the port, or -1 on failure.
+  int Start(const std::string& address);
+
+  /// Stops accepting, finishes the requests in progress and ends all threads.
+  void Stop();
+
+ private:
+  void RegisterRoutes();
+  void HandleCaller(const httplib::Request& request, httplib::Response& response);
+
+  CallerHandler& handler;
+  HttpServer server;
+  std::thread listener;
+};
+
+}  // namespace masticpin
--- /dev/null
+++ b/net/node.cc
@@ -0,0 +1,543 @@
+#include "net/node.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <thread>
+#include <utility>
+
+#include "masticpin/error/answer_table.h"
+#include "masticpin/manifest/manifest_parser.h"
+#include "net/address.h"
+
+namespace masticpin {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Extra time for work in progress after the longest deadline.
+constexpr Duration kDrainGrace = std::chrono::seconds(1);
+
+/// How often a draining node looks whether it is done.
+constexpr auto kDrainCheck = milliseconds(20);
+
+std::string EndpointOf(const std::string& address) {
+  return "tcp://" + address;
+}
+
+Member MakeSelf(const NodeOptions& options, std::uint64_t incarnation, TimePoint now) {
+  Member self;
+  self.id = {options.name, incarnation};
+  self.service = options.service;
+  self.zone = options.zone;
+  self.peer_endpoint = EndpointOf(options.peer_address);
+  self.http_address = options.http_address;
+  self.self = true;
+  self.first_seen = now;
+  return self;
+}
+
+FleetStateSettings MakeFleetSettings(const NodeOptions& options) {
+  FleetStateSettings settings;
+  settings.document = options.document;
+  return settings;
+}
+
+UpstreamClientSettings MakeUpstreamSettings(const NodeOptions& options) {
+  const Address address = Address::Parse(options.upstream_address);
+  UpstreamClientSettings settings;
+  settings.host = address.host;
+  settings.port = address.port;
+  return settings;
+}
+
+}  // namespace
+
+Node::Node(const NodeOptions& options)
+    : options(options),
+      timers(this->core, this->clock),
+      platform(this->core, options.platform_address),
+      mint({options.name, this->random.Next()}, this->clock, this->random),
+      ledger(LedgerSettings(), this->mint, this->clock, this->timers),
+      inner_calls(this->random),
+      executions(ExecutionTableSettings(),
+                 this->mint.Self().incarnation,
+                 this->clock,
+                 this->mint.Epochs(),
+                 this->timers),
+      retry_ratio(this->clock),
+      upstream(MakeUpstreamSettings(options), this->clock),
+      workers(1),
+      fleet(MakeSelf(options, this->mint.Self().incarnation, this->clock.Now()),
+            *this,
+            this->platform,
+            *this,
+            this->clock,
+            this->timers,
+            this->random,
+            MakeFleetSettings(options)),
+      router(this->fleet),
+      home(this->core,
+           this->clock,
+           this->mint,
+           this->ledger,
+           this->inner_calls,
+           this->fleet,
+           *this,
+           this->metrics),
+      dispatcher(DispatchSettings(),
+                 this->mint.Self().incarnation,
+                 this->clock,
+                 this->timers,
+                 *this,
+                 this->router,
+                 this->retry_ratio,
+                 this->home) {
+  this->home.SetDispatcher(this->dispatcher);
+}
+
+Node::~Node() {
+  // Threads first, so that nothing calls into the objects that are destroyed.
+  if (this->front != nullptr) {
+    this->front->Stop();
+  }
+  this->platform.Stop();
+  this->workers.Stop();
+  if (this->transport != nullptr) {
+    this->transport->Stop();
+  }
+  this->timers.Stop();
+}
+
+std::string Node::Start() {
+  // Messages from other nodes come first: the start-up asks peers.
+  PeerTransportSettings transport_settings;
+  transport_settings.bind_endpoint = EndpointOf(this->options.peer_address);
+  transport_settings.public_key = this->options.public_key;
+  transport_settings.secret_key = this->options.secret_key;
+  try {
+    const NodeCore::Section section(this->core);
+    this->transport = std::make_unique<PeerTransport>(transport_settings, *this);
+    this->fleet.Members().AddObserver(*this);
+    this->fleet.Documents().AddListener(*this);
+  } catch (const zmq::error_t& error) {
+    return "cannot bind " + this->options.peer_address + ": " + error.what();
+  }
+
+  {
+    const NodeCore::Section section(this->core);
+    this->OnTimer(this->clock.Now());
+    this->fleet.Start();
+  }
+
+  HttpServerOptions http;
+  // The manifest names the bound for the service; it is not known yet when the socket is bound.
+  http.max_connections = this->options.max_connections;
+  this->front = std::make_unique<HttpFront>(http, *this);
+  if (this->front->Start(this->options.http_address) < 0) {
+    return "cannot bind " + this->options.http_address;
+  }
+  spdlog::info("event=node_started instance={} incarnation={:016x} service={} zone={}",
+               this->options.name, this->mint.Self().incarnation, this->options.service,
+               this->options.zone);
+  return "";
+}
+
+void Node::RunUntilDrained(const std::function<bool()>& stop_requested) {
+  for (;;) {
+    std::this_thread::sleep_for(kDrainCheck);
+    if (stop_requested()) {
+      this->BeginDrain();
+    }
+    if (this->Drained()) {
+      break;
+    }
+  }
+  this->front->Stop();
+  spdlog::info("event=node_stopped instance={}", this->options.name);
+}
+
+CallerResponse Node::Handle(const CallerRequest& request) {
+  return this->home.Handle(request);
+}
+
+std::string Node::StatusJson() {
+  const NodeCore::Section section(this->core);
+  nlohmann::json status;
+  status["instance"] = this->options.name;
+  status["incarnation"] = this->mint.Self().incarnation;
+  status["service"] = this->options.service;
+  status["zone"] = this->options.zone;
+  status["state"] = this->draining ? "draining" : this->fleet.Gate().Open() ? "serving" : "starting";
+
+  // Configuration.
+  const Document* document = this->fleet.Documents().Find(this->options.document);
+  nlohmann::json& configuration = status["configuration"];
+  configuration["version"] = document == nullptr ? 0 : document->version;
+  configuration["source"] = document == nullptr ? "" : document->source.ToString();
+  configuration["started_with"] = this->fleet.Gate().Source();
+  configuration["conflicts"] = this->fleet.Documents().Conflicts();
+  configuration["service_calls"] = this->fleet.Reader().Calls();
+  configuration["reader"] = this->fleet.Readers().Role() == ReaderRole::kReader;
+
+  // Load.
+  nlohmann::json& load = status["load"];
+  if (this->admission != nullptr) {
+    const LoadReport report = this->admission->GetLoad();
+    load["limit"] = report.limit;
+    load["in_flight"] = report.in_flight;
+    load["queued"] = report.queued;
+    load["threshold_importance"] = report.threshold >> 16;
+    load["threshold_rank"] = report.threshold & 0xffff;
+  }
+
+  // Actions.
+  nlohmann::json& actions = status["actions"];
+  actions["remembered"] = this->ledger.Size();
+  actions["running"] = this->ledger.Running();
+  actions["stored_bytes"] = this->ledger.StoredBytes();
+  actions["executions_remembered"] = this->executions.Size();
+  actions["executions_in_progress"] =
+      this->executor == nullptr ? 0 : this->executor->InProgress();
+  actions["inner_contexts"] = this->inner_calls.Size();
+
+  // Members.
+  nlohmann::json& members = status["members"] = nlohmann::json::array();
+  for (const Ref<Member>& member : this->fleet.Members().Members()) {
+    static constexpr const char* kStates[] = {"live", "unreachable", "leaving"};
+    members.push_back({{"name", member->id.name},
+                       {"incarnation", member->id.incarnation},
+                       {"service", member->service},
+                       {"zone", member->zone},
+                       {"state", kStates[static_cast<int>(member->state)]}});
+  }
+  status["pauses"] = this->fleet.Pauses();
+  return status.dump(2);
+}
+
+std::string Node::MetricsText() {
+  std::string text;
+  const auto add = [&text](const std::string& name, const std::string& labels, std::uint64_t value) {
+    text += "masticpin_" + name + labels + " " + std::to_string(value) + "\n";
+  };
+  const auto add_results = [&add](const std::string& name, const NodeMetrics::ByResult& counts) {
+    add(name, "{result=\"complete\"}", counts[0]);
+    for (int i = 1; i <= kLastErrorKind; ++i) {
+      const std::string kind(GetAnswer(static_cast<ErrorKind>(i)).name);
+      add(name, "{result=\"" + kind + "\"}", counts[static_cast<std::size_t>(i)]);
+    }
+  };
+  add_results("caller_responses_total", this->metrics.callers);
+  add_results("executions_total", this->metrics.executions);
+  add("attempts_total", "", this->metrics.attempts);
+  add("dropped_replies_total", "", this->metrics.dropped_replies);
+  add("malformed_messages_total", "", this->metrics.malformed_messages);
+  add("send_failures_total", "", this->metrics.send_failures);
+  return text;
+}
+
+std::string Node::TracesJson(const std::string& trace_id) {
+  (void)trace_id;
+  return "{\"resourceSpans\":[]}";
+}
+
+void Node::BeginDrain() {
+  const NodeCore::Section section(this->core);
+  if (this->draining) {
+    return;
+  }
+  this->draining = true;
+  this->drain_began = this->clock.Now();
+  spdlog::info("event=drain_began instance={} in_progress={}", this->options.name,
+               this->home.InProgress());
+  this->fleet.Leave();
+  this->home.Drain();
+  if (this->executor != nullptr) {
+    this->executor->Drain();
+  }
+}
+
+bool Node::Drained() {
+  const NodeCore::Section section(this->core);
+  if (!this->draining) {
+    return false;
+  }
+  const Duration elapsed = this->clock.Now() - this->drain_began;
+  if (elapsed < this->options.leave_notice) {
+    return false;
+  }
+  const std::size_t in_progress = this->home.InProgress() +
+                                  (this->executor == nullptr ? 0 : this->executor->InProgress());
+  const Duration longest =
+      this->manifest == nullptr ? Duration::zero() : this->manifest->LongestDeadline();
+  return in_progress == 0 || elapsed > longest + kDrainGrace + this->options.leave_notice;
+}
+
+void Node::SendEnvelope(const InstanceId& to, wire::Envelope envelope) {
+  this->fleet.Stamp(this->mint.Epochs().Current(), envelope);
+  if (this->admission != nullptr) {
+    const LoadReport report = this->admission->GetLoad();
+    wire::LoadReport* load = envelope.mutable_load();
+    load->set_limit(report.limit);
+    load->set_in_flight(report.in_flight);
+    load->set_queued(report.queued);
+    load->set_threshold(report.threshold);
+  }
+  if (to == this->mint.Self()) {
+    this->core.Defer([this, envelope = std::move(envelope)] { this->Dispatch(envelope); });
+    return;
+  }
+  const Ref<const Member> member = this->fleet.Members().Find(to.name);
+  if (member == nullptr) {
+    ++this->metrics.send_failures;
+    return;
+  }
+  this->transport->Send(member->peer_endpoint, std::move(envelope));
+}
+
+void Node::Dispatch(const wire::Envelope& envelope) {
+  const InstanceId from{envelope.sender().name(), envelope.sender().incarnation()};
+  if (this->fleet.OnEnvelope(envelope)) {
+    return;
+  }
+  switch (envelope.body_case()) {
+    case wire::Envelope::kHomeRequest:
+      this->home.OnHomeRequest(from, envelope.home_request());
+      break;
+    case wire::Envelope::kHomeReply:
+      this->home.OnHomeReply(envelope.home_reply());
+      break;
+    case wire::Envelope::kExecuteRequest:
+      if (this->executor == nullptr) {
+        this->RefuseUnconfigured(from, envelope.execute_request().key());
+      } else {
+        this->executor->Execute(from, envelope.execute_request());
+      }
+      break;
+    case wire::Envelope::kExecuteReply:
+      this->OnExecuteReply(from, envelope.execute_reply());
+      break;
+    case wire::Envelope::kCancelRequest:
+      if (this->executor != nullptr) {
+        this->executor->Cancel(envelope.cancel_request().key());
+      }
+      break;
+    default:
+      ++this->metrics.malformed_messages;
+      break;
+  }
+}
+
+void Node::OnExecuteReply(const InstanceId& from, const wire::ExecuteReply& reply) {
+  const auto found = this->outstanding.find(reply.key().sequence());
+  if (found != this->outstanding.end() && found->second.executor == from) {
+    this->fleet.Selector().OnReply(from);
+    this->outstanding.erase(found);
+  }
+  this->dispatcher.OnReply(from, reply);
+}
+
+void Node::RefuseUnconfigured(const InstanceId& home, const wire::ExecutionKey& key) {
+  wire::ExecuteReply reply;
+  *reply.mutable_key() = key;
+  const AcceptResult accepted = this->executions.Accept(key);
+  const bool refused = accepted.verdict == AcceptVerdict::kRefused;
+  reply.set_error(static_cast<std::uint32_t>(refused ? accepted.error
+                                                     : ErrorKind::kNoConfiguration));
+  if (accepted.verdict == AcceptVerdict::kNew) {
+    this->executions.Finish(key, Ref<const StoredReply>(new StoredReply(reply)));
+  }
+  this->SendReply(home, reply);
+}
+
+void Node::OnEnvelope(const wire::Envelope& envelope) {
+  const NodeCore::Section section(this->core);
+  if (!envelope.has_sender() || envelope.sender().name() == this->options.name) {
+    ++this->metrics.malformed_messages;
+    return;
+  }
+  this->Dispatch(envelope);
+}
+
+void Node::OnSendFailed(const std::string& endpoint, const wire::Envelope& envelope) {
+  const NodeCore::Section section(this->core);
+  ++this->metrics.send_failures;
+  if (!envelope.has_execute_request()) {
+    return;
+  }
+  // The execution was never sent, so it certainly does not run.
+  const wire::ExecutionKey& key = envelope.execute_request().key();
+  const auto found = this->outstanding.find(key.sequence());
+  if (found == this->outstanding.end()) {
+    return;
+  }
+  spdlog::warn("event=send_failed endpoint={} instance={}", endpoint,
+               found->second.executor.name);
+  const InstanceId executor_id = found->second.executor;
+  this->fleet.Selector().OnFailure(executor_id);
+  this->outstanding.erase(found);
+  wire::ExecuteReply reply;
+  *reply.mutable_key() = key;
+  reply.set_error(static_cast<std::uint32_t>(ErrorKind::kUpstreamUnreachable));
+  this->dispatcher.OnReply(executor_id, std::move(reply));
+}
+
+void Node::OnMalformed(std::size_t bytes) {
+  ++this->metrics.malformed_messages;
+  spdlog::warn("event=malformed_message bytes={}", bytes);
+}
+
+void Node::Send(const InstanceId& to, wire::Envelope envelope) {
+  this->SendEnvelope(to, std::move(envelope));
+}
+
+void Node::SendExecute(const InstanceId& executor, const wire::ExecuteRequest& request) {
+  this->fleet.Selector().OnSent(executor);
+  this->outstanding[request.key().sequence()] = {executor, this->clock.Now()};
+  wire::Envelope envelope;
+  *envelope.mutable_execute_request() = request;
+  this->SendEnvelope(executor, std::move(envelope));
+}
+
+void Node::SendCancel(const InstanceId& executor, const wire::CancelRequest& request) {
+  const auto found = this->outstanding.find(request.key().sequence());
+  if (found != this->outstanding.end()) {
+    // An instance from which nothing was heard since the request was sent may be gone; one that
+    // only takes too long for this request is not.
+    const Ref<const Member> member = this->fleet.Members().Find(executor);
+    const bool silent = executor != this->mint.Self() && member != nullptr &&
+                        member->last_heard < found->second.sent_at;
+    if (silent) {
+      this->fleet.Selector().OnFailure(executor);
+    } else {
+      this->fleet.Selector().OnReply(executor);
+    }
+    this->outstanding.erase(found);
+  }
+  wire::Envelope envelope;
+  *envelope.mutable_cancel_request() = request;
+  this->SendEnvelope(executor, std::move(envelope));
+}
+
+void Node::SendReply(const InstanceId& home_id, const wire::ExecuteReply& reply) {
+  wire::Envelope envelope;
+  *envelope.mutable_execute_reply() = reply;
+  this->SendEnvelope(home_id, std::move(envelope));
+}
+
+void Node::SendHomeRequest(const InstanceId& home_id, wire::HomeRequest request) {
+  wire::Envelope envelope;
+  *envelope.mutable_home_request() = std::move(request);
+  this->SendEnvelope(home_id, std::move(envelope));
+}
+
+void Node::SendHomeReply(const InstanceId& ingress, wire::HomeReply reply) {
+  wire::Envelope envelope;
+  *envelope.mutable_home_reply() = std::move(reply);
+  this->SendEnvelope(ingress, std::move(envelope));
+}
+
+std::string Node::Validate(std::string_view name, std::uint64_t version, std::string_view bytes) {
+  const ManifestParseResult parsed = ManifestParser::Parse(bytes, name);
+  if (!parsed.Ok()) {
+    return parsed.problems.front().ToString();
+  }
+  if (parsed.manifest->Version() != version) {
+    return "the version in the manifest differs from that of the document";
+  }
+  if (parsed.manifest->FindService(this->options.service) == nullptr) {
+    return "the manifest does not name service " + this->options.service;
+  }
+  return "";
+}
+
+void Node::OnDocument(const Document& document) {
+  this->manifest = ManifestParser::Parse(*document.bytes, document.name).manifest;
+  const ServiceSpec& service = *this->manifest->FindService(this->options.service);
+  this->upstream.SetShedStatus(service.shed_status);
+  this->workers.SetMaxThreads(service.slots);
+
+  // The first manifest makes the executor; later ones change its settings.
+  if (this->admission == nullptr) {
+    AdmissionSettings settings;
+    settings.ceiling = service.slots;
+    this->admission =
+        std::make_unique<AdmissionController>(settings, this->clock, this->timers, this->random);
+    this->executor = std::make_unique<Executor>(
+        this->core, this->clock, this->executions, *this->admission, this->inner_calls,
+        this->upstream, this->workers, *this, this->metrics);
+    if (this->draining) {
+      this->executor->Drain();
+    }
+  } else {
+    this->admission->SetCeiling(service.slots);
+  }
+  this->executor->SetManifest(this->manifest);
+  this->home.SetManifest(this->manifest);
+
+  // The services to which this node sends requests.
+  std::vector<std::string> used = {this->options.service};
+  for (const KindSpec& kind : this->manifest->Kinds()) {
+    if (kind.service == this->options.service) {
+      for (const KindRef& call : kind.calls) {
+        used.push_back(call.service);
+      }
+    }
+  }
+  std::sort(used.begin(), used.end());
+  used.erase(std::unique(used.begin(), used.end()), used.end());
+  this->fleet.UseServices(std::move(used));
+  spdlog::info("event=configuration_in_force document={} version={} source=\"{}\"", document.name,
+               document.version, document.source.ToString());
+}
+
+void Node::OnMemberAdded(const Member& member) {
+  if (!member.self) {
+    spdlog::info("event=member_added name={} incarnation={:016x}", member.id.name,
+                 member.id.incarnation);
+  }
+}
+
+void Node::OnMemberChanged(const Member& member, std::uint64_t previous_incarnation) {
+  if (previous_incarnation != 0 && previous_incarnation != member.id.incarnation) {
+    const InstanceId gone{member.id.name, previous_incarnation};
+    this->core.Defer([this, gone] { this->dispatcher.OnPeerLost(gone); });
+  }
+}
+
+void Node::OnMemberRemoved(const Member& member) {
+  spdlog::info("event=member_removed name={} incarnation={:016x}", member.id.name,
+               member.id.incarnation);
+  this->core.Defer([this, gone = member.id] { this->dispatcher.OnPeerLost(gone); });
+  this->transport->Disconnect(member.peer_endpoint);
+}
+
+void Node::OnTimer(TimePoint now) {
+  // Read the list of instances, unless a read is still in progress.
+  if (!this->list_in_progress) {
+    this->list_in_progress = true;
+    this->platform.ReadInstances(
+        [this](const std::optional<std::vector<ListedInstance>>& list) { this->OnList(list); });
+  }
+
+  // Spread over the period, so that a fleet that starts at once does not read at once forever.
+  const double members = static_cast<double>(this->fleet.Members().Members().size());
+  const Duration shared = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(members / this->options.list_fleet_rate));
+  const Duration period = std::max(this->options.list_period, shared);
+  const auto jitter = Duration(
+      static_cast<Duration::rep>(this->random.Below(static_cast<std::uint64_t>(period.count()))));
+  this->timers.Schedule(*this, now + period / 2 + jitter);
+}
+
+void Node::OnList(const std::optional<std::vector<ListedInstance>>& list) {
+  this->list_in_progress = false;
+  if (!list.has_value()) {
+    spdlog::warn("event=instance_list_unavailable");
+    return;
+  }
+  this->fleet.Members().ApplyList(*list);
+}
+
+}  // namespace masticpin
--- /dev/null
+++ b/net/node_core.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <mutex>
+
+namespace masticpin {
+
+/// Serialises the calls into the single-threaded objects of a node. Work that must not run within
+/// another object's call, such as a message of the node to itself, is deferred to the end of the
+/// critical section.
+class NodeCore {
+ public:
+  using Task = std::function<void()>;
+
+  /// Holds the mutex; runs the deferred tasks before it is released.
+  class Section {
+   public:
+    explicit Section(NodeCore& core) : core(core), lock(core.mutex) {}
+    ~Section() { this->core.RunDeferred(); }
+    Section(const Section&) = delete;
+    Section& operator=(const Section&) = delete;
+
+    /// For condition variables; deferred tasks must have run (see RunDeferred()).
+    std::unique_lock<std::mutex>& Lock() { return this->lock; }
+
+   private:
+    NodeCore& core;
+    std::unique_lock<std::mutex> lock;
+  };
+
+  /// Defers `task`. The mutex must be held.
+  void Defer(Task task) { this->tasks.push_back(std::move(task)); }
+
+  /// Runs the deferred tasks, also those that they defer. The mutex must be held.
+  void RunDeferred() {
+    while (!this->tasks.empty()) {
+      const Task task = std::move(this->tasks.front());
+      this->tasks.pop_front();
+      task();
+    }
+  }
+
+  std::mutex& Mutex() { return this->mutex; }
+
+ private:
+  std::mutex mutex;
+  std::deque<Task> tasks;
+};
+
+}  // namespace masticpin
--- /dev/null
+++ b/net/platform_client.cc
@@ -0,0 +1,202 @@
+#include "net/platform_client.h"
+
+#include <httplib.h>
+#include <spdlog/spdlog.h>
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "net/address.h"
+
+namespace masticpin {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+/// Calls at the same time: one watch, one read at the start and one read of the list.
+constexpr std::size_t kMaxThreads = 4;
+
+/// The service answers in milliseconds; a call that takes longer than its wait and this is lost.
+constexpr auto kAnswerTime = milliseconds(2000);
+
+std::uint64_t ParseVersion(const std::string& text) {
+  std::uint64_t version = 0;
+  std::from_chars(text.data(), text.data() + text.size(), version);
+  return version;
+}
+
+std::optional<std::vector<ListedInstance>> ParseList(const std::string& text) {
+  const nlohmann::json list = nlohmann::json::parse(text, nullptr, /*allow_exceptions=*/false);
+  if (!list.is_array()) {
+    return std::nullopt;
+  }
+  std::vector<ListedInstance> instances;
+  for (const nlohmann::json& item : list) {
+    if (!item.is_object()) {
+      return std::nullopt;
+    }
+    const auto text_of = [&item](const char* field) {
+      const auto found = item.find(field);
+      return found != item.end() && found->is_string() ? found->get<std::string>() : std::string();
+    };
+    ListedInstance instance;
+    instance.name = text_of("name");
+    instance.service = text_of("service");
+    instance.zone = text_of("zone");
+    instance.http_address = text_of("http");
+    instance.peer_endpoint = text_of("peer");
+    instance.leaving = text_of("state") == "leaving";
+    if (instance.name.empty() || instance.service.empty() || instance.peer_endpoint.empty()) {
+      return std::nullopt;
+    }
+    instances.push_back(std::move(instance));
+  }
+  return instances;
+}
+
+}  // namespace
+
+/// One HTTP call on a thread of its own.
+class PlatformClient::Call : public WorkItem {
+ public:
+  Call(PlatformClient& owner, std::string path, Duration wait)
+      : owner(owner), path(std::move(path)), client(owner.host, owner.port) {
+    this->client.set_tcp_nodelay(true);
+    this->client.set_connection_timeout(kAnswerTime);
+    this->client.set_read_timeout(duration_cast<microseconds>(wait) + kAnswerTime);
+  }
+
+  void Run() override {
+    const httplib::Result result = this->client.Get(this->path);
+    const NodeCore::Section section(this->owner.core);
+    // Deliver() may start further calls, so the call leaves the table first.
+    const auto node = this->owner.calls.extract(this->id);
+    if (!this->cancelled && !this->owner.stopping) {
+      this->Deliver(result);
+    }
+  }
+
+  /// Ends the call early. Its callback is not called.
+  void Abort() {
+    this->cancelled = true;
+    this->client.stop();
+  }
+
+  std::uint64_t id = 0;
+
+ private:
+  virtual void Deliver(const httplib::Result& result) = 0;
+
+  PlatformClient& owner;
+  const std::string path;
+  httplib::Client client;
+  bool cancelled = false;
+};
+
+class PlatformClient::DocumentCall : public Call {
+ public:
+  DocumentCall(PlatformClient& owner, std::string path, Duration wait, Callback callback)
+      : Call(owner, std::move(path), wait), callback(std::move(callback)) {}
+
+ private:
+  void Deliver(const httplib::Result& result) override {
+    ServiceAnswer answer;
+    if (result) {
+      switch (result->status) {
+        case 200:
+          answer.status = ServiceStatus::kValue;
+          answer.version = ParseVersion(result->get_header_value("Document-Version"));
+          answer.bytes = result->body;
+          break;
+        case 304:
+          answer.status = ServiceStatus::kNotModified;
+          break;
+        case 404:
+          answer.status = ServiceStatus::kMissing;
+          break;
+        case 429:
+          answer.status = ServiceStatus::kThrottled;
+          break;
+        default:
+          break;
+      }
+    }
+    this->callback(std::move(answer));
+  }
+
+  const Callback callback;
+};
+
+class PlatformClient::ListCall : public Call {
+ public:
+  ListCall(PlatformClient& owner, ListCallback callback)
+      : Call(owner, "/v1/instances", Duration::zero()), callback(std::move(callback)) {}
+
+ private:
+  void Deliver(const httplib::Result& result) override {
+    this->callback(result && result->status == 200 ? ParseList(result->body) : std::nullopt);
+  }
+
+  const ListCallback callback;
+};
+
+PlatformClient::PlatformClient(NodeCore& core, const std::string& address)
+    : core(core), workers(kMaxThreads) {
+  const Address parsed = Address::Parse(address);
+  this->host = parsed.host;
+  this->port = parsed.port;
+}
+
+PlatformClient::~PlatformClient() {
+  this->Stop();
+}
+
+std::uint64_t PlatformClient::Read(const std::string& name,
+                                   std::uint64_t after,
+                                   Duration wait,
+                                   Callback callback) {
+  std::string path = "/v1/documents/" + name;
+  if (wait > Duration::zero()) {
+    path += "?after=" + std::to_string(after) +
+            "&wait_ms=" + std::to_string(duration_cast<milliseconds>(wait).count());
+  }
+  return this->Start(
+      std::make_unique<DocumentCall>(*this, std::move(path), wait, std::move(callback)));
+}
+
+void PlatformClient::Cancel(std::uint64_t call) {
+  const auto found = this->calls.find(call);
+  if (found != this->calls.end()) {
+    found->second->Abort();
+  }
+}
+
+void PlatformClient::ReadInstances(ListCallback callback) {
+  this->Start(std::make_unique<ListCall>(*this, std::move(callback)));
+}
+
+void PlatformClient::Stop() {
+  {
+    const NodeCore::Section section(this->core);
+    this->stopping = true;
+    for (const auto& [id, call] : this->calls) {
+      call->Abort();
+    }
+  }
+  this->workers.Stop();
+}
+
+std::uint64_t PlatformClient::Start(std::unique_ptr<Call> call) {
+  const std::uint64_t id = this->next_call++;
+  call->id = id;
+  Call& started = *this->calls.emplace(id, std::move(call)).first->second;
+  if (!this->stopping) {
+    this->workers.Post(started);
+  }
+  return id;
+}
+
+}  // namespace masticpin
--- /dev/null
+++ b/net/platform_client.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "masticpin/configuration/configuration_service_client.h"
+#include "masticpin/membership/listed_instance.h"
+#include "net/node_core.h"
+#include "net/worker_pool.h"
+
+namespace masticpin {
+
+/// Reads the platform's configuration service and its list of instances over HTTP. All functions
+/// but Stop() must be called within a section of the core, and all callbacks are.
+class PlatformClient : public ConfigurationServiceClient {
+ public:
+  /// No value if the list could not be read.
+  using ListCallback = std::function<void(std::optional<std::vector<ListedInstance>>)>;
+
+  /// `address` is "ip:port". `core` must outlive the client.
+  PlatformClient(NodeCore& core, const std::string& address);
+  ~PlatformClient() override;
+
+  // ConfigurationServiceClient:
+  std::uint64_t Read(const std::string& name,
+                     std::uint64_t after,
+                     Duration wait,
+                     Callback callback) override;
+  void Cancel(std::uint64_t call) override;
+
+  /// Starts one read of the list of instances.
+  void ReadInstances(ListCallback callback);
+
+  /// Ends all calls without a callback. Must be called outside of a section.
+  void Stop();
+
+ private:
+  class Call;
+  class DocumentCall;
+  class ListCall;
+
+  std::uint64_t Start(std::unique_ptr<Call> call);
+
+  NodeCore& core;
+  std::string host;
+  int port = 0;
+  std::uint64_t next_call = 1;
+  bool stopping = false;
+  std::unordered_map<std::uint64_t, std::unique_ptr<Call>> calls;
+  WorkerPool workers;
+};
+
+}  // namespace masticpin
--- a/net/thread_timer_service.cc
+++ b/net/thread_timer_service.cc
@@ -2,8 +2,8 @@
 
 namespace masticpin {
 
-ThreadTimerService::ThreadTimerService(std::mutex& mutex, const Clock& clock)
-    : mutex(mutex), clock(clock), thread([this] { this->Run(); }) {}
+ThreadTimerService::ThreadTimerService(NodeCore& core, const Clock& clock)
+    : core(core), clock(clock), thread([this] { this->Run(); }) {}
 
 ThreadTimerService::~ThreadTimerService() {
   this->Stop();
@@ -23,7 +23,7 @@
 
 void ThreadTimerService::Stop() {
   {
-    const std::lock_guard lock(this->mutex);
+    const NodeCore::Section section(this->core);
     this->stopping = true;
     this->changed.notify_one();
   }
@@ -33,7 +33,7 @@
 }
 
 void ThreadTimerService::Run() {
-  std::unique_lock lock(this->mutex);
+  std::unique_lock lock(this->core.Mutex());
   while (!this->stopping) {
     const auto due = this->queue.NextDue();
     if (!due.has_value()) {
@@ -42,6 +42,7 @@
       this->changed.wait_until(lock, *due);
     } else {
       this->queue.RunDue(this->clock.Now());
+      this->core.RunDeferred();
     }
   }
 }
--- a/net/upstream_client.cc
+++ b/net/upstream_client.cc
@@ -1,5 +1,6 @@
 #include "net/upstream_client.h"
 
+#include <poll.h>
 #include <strings.h>
 
 #include <algorithm>
@@ -25,6 +26,29 @@
                      [&name](const char* other) { return strcasecmp(name.c_str(), other) == 0; });
 }
 
+/// True if nothing waits to be read on an idle connection. Bytes that the upstream sent without a
+/// request, such as a response sent twice, would be read as the response of the next request, and
+/// cpp-httplib does not look for them.
+bool IsQuiet(const httplib::Client& client) {
+  if (client.is_socket_open() == 0) {
+    return true;
+  }
+  pollfd descriptor{client.socket(), POLLIN | POLLRDHUP, 0};
+  return ::poll(&descriptor, 1, 0) == 0;
+}
+
+/// True if the response names another execution than the request.
+bool IsForOtherRequest(const wire::HttpRequest& request, const httplib::Response& response) {
+  if (!response.has_header(kContextHeader)) {
+    return false;
+  }
+  const std::string echoed = response.get_header_value(kContextHeader);
+  return std::any_of(request.headers().begin(), request.headers().end(),
+                     [&echoed](const wire::Header& header) {
+                       return header.name() == kContextHeader && header.value() != echoed;
+                     });
+}
+
 }  // namespace
 
 UpstreamClient::UpstreamClient(const UpstreamClientSettings& settings, const Clock& clock)
@@ -87,6 +111,9 @@
     // The end of such a response cannot be told from a cut connection.
     return MakeError(ErrorKind::kUpstreamBroken, "response without a length");
   }
+  if (IsForOtherRequest(request, response)) {
+    return MakeError(ErrorKind::kUpstreamBroken, "response to another request");
+  }
   response.body = std::move(body);
   auto result = this->Convert(response);
   connection.last_used = this->clock.Now();
@@ -97,10 +124,11 @@
 UpstreamClient::Connection UpstreamClient::TakeConnection(bool idempotent) {
   {
     const std::lock_guard lock(this->mutex);
-    if (!this->idle.empty()) {
+    while (!this->idle.empty()) {
       Connection connection = std::move(this->idle.back());
       this->idle.pop_back();
-      if (idempotent || this->clock.Now() - connection.last_used <= this->settings.max_idle) {
+      const bool fresh = this->clock.Now() - connection.last_used <= this->settings.max_idle;
+      if ((idempotent || fresh) && IsQuiet(*connection.client)) {
         return connection;
       }
     }
@@ -123,7 +151,7 @@
 
 Result<wire::HttpResponse> UpstreamClient::Convert(const httplib::Response& response) const {
   const std::string outcome = response.get_header_value(kOutcomeHeader);
-  if (outcome == "not-run" || response.status == this->settings.shed_status) {
+  if (outcome == "not-run" || response.status == this->shed_status) {
     return MakeError(ErrorKind::kUpstreamShed);
   }
   if (outcome == "unknown") {
--- a/net/upstream_client.h
+++ b/net/upstream_client.h
@@ -2,8 +2,10 @@
 
 #include <httplib.h>
 
+#include <atomic>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <vector>
 
 #include "masticpin/base/clock.h"
@@ -20,6 +22,9 @@
  public:
   UpstreamClient(const UpstreamClientSettings& settings, const Clock& clock);
 
+  /// Sets the HTTP status that the upstream uses only before it has done any work, if it has one.
+  void SetShedStatus(std::optional<int> status) { this->shed_status = status.value_or(0); }
+
   /// Sends `request` and waits for the whole response until `deadline`. Errors:
   /// kUpstreamUnreachable, kUpstreamShed and kCancelledBeforeStart if it certainly did not run;
   /// kUpstreamBroken, kDeadlineExceeded and kCancelled if it may have run. A connection that did
@@ -42,6 +47,8 @@
 
   const UpstreamClientSettings settings;
   const Clock& clock;
+  /// 0 if the upstream has no such status.
+  std::atomic<int> shed_status = 0;
   std::mutex mutex;
   std::vector<Connection> idle;
 };
--- a/net/upstream_client_settings.h
+++ b/net/upstream_client_settings.h
@@ -2,7 +2,6 @@
 
 #include <chrono>
 #include <cstddef>
-#include <optional>
 #include <string>
 
 namespace masticpin {
@@ -11,8 +10,6 @@
 struct UpstreamClientSettings {
   std::string host;
   int port = 0;
-  /// HTTP status that the upstream uses only before it has done any work.
-  std::optional<int> shed_status;
   /// A connection over loopback is either accepted at once or refused.
   std::chrono::milliseconds connect_timeout{250};
   /// A request that must not be repeated is not sent on a connection that was idle for longer: the
--- /dev/null
+++ b/net/work_item.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <boost/intrusive/list_hook.hpp>
+
+namespace masticpin {
+
+/// Work for a WorkerPool. The owner keeps it alive until Run() has been called.
+class WorkItem : public boost::intrusive::list_base_hook<> {
+ public:
+  virtual ~WorkItem() = default;
+
+  /// Called once for each Post(), on one of the pool's threads.
+  virtual void Run() = 0;
+};
+
+}  // namespace masticpin
