Add the admission module

AdmissionController puts an adaptive concurrency limit, a priority queue with eviction and a hold-down in front of one upstream. Decisions are made completely before each callback, and only the outermost call delivers callbacks, so that callbacks may call the controller. It takes a RandomSource besides clock and timers, because the retry-after values are spread with it.

If halving the limit does not lower the latency, the upstream is slow and not congested, and the limit is restored. An old reference latency is measured again at half the limit, so that it does not drift upwards at the knee.

--- /dev/null
+++ b/masticpin/admission/admission_controller.cc
@@ -0,0 +1,334 @@
+#include "masticpin/admission/admission_controller.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace masticpin {
+
+namespace {
+
+/// Before every time that a clock gives, and far enough from the end of the range to add durations.
+constexpr TimePoint kNever{Duration::min() / 2};
+
+AdmissionSettings WithWaitBoundAboveHoldDown(AdmissionSettings settings) {
+  settings.queue_wait_bound = std::max(settings.queue_wait_bound, settings.hold_down);
+  return settings;
+}
+
+}  // namespace
+
+AdmissionController::AdmissionController(const AdmissionSettings& settings,
+                                         const Clock& clock,
+                                         TimerService& timers,
+                                         RandomSource& random)
+    : settings(WithWaitBoundAboveHoldDown(settings)),
+      clock(clock),
+      timers(timers),
+      random(random),
+      limiter(settings.limiter, settings.ceiling),
+      recent(settings.hold_down) {
+  this->refused_at.fill(kNever);
+  this->admitted_at.fill(kNever);
+}
+
+AdmissionController::~AdmissionController() {
+  assert(this->in_flight == 0 && this->queue.IsEmpty() && this->refusals.empty());
+  this->timers.Cancel(*this);
+}
+
+void AdmissionController::Offer(AdmissionRequest& request) {
+  assert(request.state == AdmissionRequest::State::kIdle);
+  assert(request.priority.importance <= kMaxImportance);
+  const TimePoint now = this->clock.Now();
+  ++this->statistics.offered;
+
+  if (this->draining) {
+    this->Refuse(request, ErrorKind::kDraining, now);
+  } else if (request.deadline <= now) {
+    // No capacity could have helped this request, so there is no hold-down for it.
+    this->Refuse(request, ErrorKind::kExpiredBeforeStart, now);
+  } else {
+    this->Enqueue(request, now);
+    if (this->queue.Size() > this->settings.queue_capacity) {
+      ++this->statistics.evicted;
+      this->RefuseWaiting(this->queue.Worst(), ErrorKind::kOverloaded, now);
+    }
+  }
+  this->Process();
+}
+
+bool AdmissionController::Withdraw(AdmissionRequest& request) {
+  switch (request.state) {
+    case AdmissionRequest::State::kIdle:
+    case AdmissionRequest::State::kAdmitted:
+      return false;
+    case AdmissionRequest::State::kWaiting:
+      this->queue.Remove(request);
+      break;
+    case AdmissionRequest::State::kRefusing:
+      this->refusals.erase(this->refusals.iterator_to(request));
+      break;
+  }
+  request.state = AdmissionRequest::State::kIdle;
+  ++this->statistics.withdrawn;
+  // The request behind it may be admissible now.
+  this->Process();
+  return true;
+}
+
+void AdmissionController::Complete(AdmissionRequest& request,
+                                   Completion completion,
+                                   Duration service_time) {
+  assert(request.state == AdmissionRequest::State::kAdmitted);
+  assert(this->in_flight > 0);
+  const TimePoint now = this->clock.Now();
+  request.state = AdmissionRequest::State::kIdle;
+  if (this->test == &request) {
+    this->test = nullptr;
+  }
+
+  switch (completion) {
+    case Completion::kSuccess:
+      ++this->statistics.succeeded;
+      this->OnConnection();
+      this->limiter.OnSuccess(now, service_time, this->in_flight);
+      break;
+    case Completion::kShed:
+      ++this->statistics.shed;
+      this->OnConnection();
+      this->limiter.OnShed(now);
+      break;
+    case Completion::kFailed:
+      ++this->statistics.failed;
+      this->OnConnection();
+      break;
+    case Completion::kUnreachable:
+      ++this->statistics.unreachable;
+      this->OnConnectionFailure(now);
+      break;
+    case Completion::kCancelled:
+      ++this->statistics.cancelled;
+      break;
+  }
+  --this->in_flight;
+  this->Process();
+}
+
+void AdmissionController::SetCeiling(std::uint32_t ceiling) {
+  this->limiter.SetCeiling(ceiling);
+  this->Process();
+}
+
+void AdmissionController::Drain() {
+  this->draining = true;
+  const TimePoint now = this->clock.Now();
+  while (!this->queue.IsEmpty()) {
+    this->RefuseWaiting(this->queue.Best(), ErrorKind::kDraining, now);
+  }
+  this->Process();
+}
+
+LoadReport AdmissionController::GetLoad() const {
+  const TimePoint now = this->clock.Now();
+  LoadReport report;
+  report.limit = this->unreachable ? 0 : this->limiter.Limit();
+  report.in_flight = this->in_flight;
+  report.queued = static_cast<std::uint32_t>(this->queue.Size());
+  report.threshold = this->recent.Threshold(now);
+  // Nothing below the importance that is held down is admitted, whatever was admitted before.
+  for (std::uint8_t importance = kMaxImportance; importance > 0; --importance) {
+    if (this->refused_at[importance] + this->settings.hold_down > now) {
+      report.threshold = std::max(report.threshold, Priority{importance, 0}.Packed());
+      break;
+    }
+  }
+  return report;
+}
+
+void AdmissionController::OnTimer(TimePoint) {
+  this->timer_due = TimePoint::max();
+  this->Process();
+}
+
+void AdmissionController::Process() {
+  if (this->processing) {
+    return;
+  }
+  this->processing = true;
+  // Each step makes one decision completely before its callback, which may change everything.
+  while (true) {
+    if (!this->refusals.empty()) {
+      AdmissionRequest& request = this->refusals.front();
+      this->refusals.pop_front();
+      request.state = AdmissionRequest::State::kIdle;
+      request.OnRefused(request.refusal, request.retry_after);
+      continue;
+    }
+    if (this->queue.IsEmpty()) {
+      break;
+    }
+    const TimePoint now = this->clock.Now();
+    AdmissionRequest& earliest = this->queue.EarliestExpiry();
+    if (earliest.expiry <= now) {
+      this->RefuseWaiting(earliest, earliest.expiry_kind, now);
+      continue;
+    }
+    AdmissionRequest& best = this->queue.Best();
+    if (!this->CanAdmit(best, now)) {
+      this->ScheduleTimer(now);
+      break;
+    }
+    this->Admit(best, now);
+  }
+  this->processing = false;
+}
+
+bool AdmissionController::CanAdmit(const AdmissionRequest& request, TimePoint now) const {
+  if (this->in_flight >= this->limiter.Limit()) {
+    return false;
+  }
+  if (this->unreachable && (this->test != nullptr || now < this->next_test)) {
+    return false;
+  }
+  return this->HoldDownEnd(request.priority.importance) <= now;
+}
+
+void AdmissionController::Admit(AdmissionRequest& request, TimePoint now) {
+  this->queue.Remove(request);
+  request.state = AdmissionRequest::State::kAdmitted;
+  ++this->in_flight;
+  ++this->statistics.admitted;
+  this->admitted_at[request.priority.importance] = now;
+  this->recent.OnAdmitted(now, request.priority.Packed());
+  if (this->unreachable) {
+    this->test = &request;
+    this->next_test = now + this->settings.unreachable_test_interval;
+  }
+  request.OnAdmitted();
+}
+
+void AdmissionController::Refuse(AdmissionRequest& request, ErrorKind kind, TimePoint now) {
+  switch (kind) {
+    case ErrorKind::kOverloaded:
+      ++this->statistics.refused_overloaded;
+      break;
+    case ErrorKind::kExpiredBeforeStart:
+      ++this->statistics.refused_expired;
+      break;
+    case ErrorKind::kUpstreamUnreachable:
+      ++this->statistics.refused_unreachable;
+      break;
+    default:
+      assert(kind == ErrorKind::kDraining);
+      ++this->statistics.refused_draining;
+      break;
+  }
+  request.state = AdmissionRequest::State::kRefusing;
+  request.refusal = kind;
+  request.retry_after = this->RetryAfter(kind, now);
+  this->refusals.push_back(request);
+}
+
+void AdmissionController::RefuseWaiting(AdmissionRequest& request, ErrorKind kind, TimePoint now) {
+  this->queue.Remove(request);
+  if (kind != ErrorKind::kDraining) {
+    this->refused_at[request.priority.importance] = now;
+    this->recent.OnRefused(now);
+  }
+  this->Refuse(request, kind, now);
+}
+
+void AdmissionController::Enqueue(AdmissionRequest& request, TimePoint now) {
+  // The expected time counts at most half of what remains: after a slow phase a stale expectation
+  // would otherwise refuse every request, and no completion could correct it.
+  const Duration remaining = request.deadline - now;
+  const Duration useful = remaining - std::min(this->limiter.ExpectedServiceTime(), remaining / 2);
+  TimePoint expiry = now + std::min(useful, this->settings.queue_wait_bound);
+  request.expiry_kind = useful < this->settings.queue_wait_bound ? ErrorKind::kExpiredBeforeStart
+                                                                 : ErrorKind::kOverloaded;
+  if (this->unreachable && !this->CanAdmit(request, now)) {
+    // Refuse quickly. A request that could be the test now keeps its wait, so that it is not
+    // refused before Process() chooses the test.
+    expiry = std::min(expiry, this->EarliestRefusal(request.priority.importance));
+    request.expiry_kind = ErrorKind::kUpstreamUnreachable;
+  }
+  request.state = AdmissionRequest::State::kWaiting;
+  this->queue.Insert(request, expiry);
+}
+
+TimePoint AdmissionController::EarliestRefusal(std::uint8_t importance) const {
+  TimePoint earliest = kNever;
+  for (std::uint8_t lower = 0; lower < importance; ++lower) {
+    earliest = std::max(earliest, this->admitted_at[lower] + this->settings.hold_down);
+  }
+  return earliest;
+}
+
+TimePoint AdmissionController::HoldDownEnd(std::uint8_t importance) const {
+  TimePoint end = kNever;
+  for (std::uint8_t higher = kMaxImportance; higher > importance; --higher) {
+    end = std::max(end, this->refused_at[higher] + this->settings.hold_down);
+  }
+  return end;
+}
+
+void AdmissionController::OnConnectionFailure(TimePoint now) {
+  ++this->connection_failures;
+  if (this->unreachable || this->connection_failures < this->settings.unreachable_after) {
+    return;
+  }
+  this->unreachable = true;
+  this->next_test = now + this->settings.unreachable_test_interval;
+  // Shorten the wait of all waiting requests. They move through a queue of their own, because a
+  // new expiry changes the order.
+  AdmissionQueue shortened;
+  while (!this->queue.IsEmpty()) {
+    AdmissionRequest& request = this->queue.Best();
+    this->queue.Remove(request);
+    request.expiry_kind = ErrorKind::kUpstreamUnreachable;
+    shortened.Insert(request,
+                     std::min(request.expiry, this->EarliestRefusal(request.priority.importance)));
+  }
+  this->queue.Swap(shortened);
+}
+
+void AdmissionController::OnConnection() {
+  this->connection_failures = 0;
+  if (this->unreachable) {
+    this->unreachable = false;
+    this->limiter.Restart();
+  }
+}
+
+Duration AdmissionController::RetryAfter(ErrorKind kind, TimePoint now) {
+  if (kind == ErrorKind::kDraining || kind == ErrorKind::kExpiredBeforeStart) {
+    return Duration::zero();
+  }
+  const double factor = std::max(this->recent.ExcessLoad(now), 1.0);
+  const Duration base = this->settings.retry_after_base;
+  const Duration delay = factor * base < this->settings.retry_after_bound
+                             ? std::chrono::duration_cast<Duration>(factor * base)
+                             : this->settings.retry_after_bound;
+  // Uniform in half to one and a half times the delay, so that refused callers do not come back
+  // together.
+  return delay / 2 + Duration(this->random.Below(static_cast<std::uint64_t>(delay.count()) + 1));
+}
+
+void AdmissionController::ScheduleTimer(TimePoint now) {
+  // A timer that is too early only causes one call without effect, so it is never moved back.
+  AdmissionRequest& best = this->queue.Best();
+  TimePoint due = this->queue.EarliestExpiry().expiry;
+  const TimePoint hold_down_end = this->HoldDownEnd(best.priority.importance);
+  if (hold_down_end > now) {
+    due = std::min(due, hold_down_end);
+  }
+  if (this->unreachable && this->next_test > now) {
+    due = std::min(due, this->next_test);
+  }
+  if (due < this->timer_due) {
+    this->timer_due = due;
+    this->timers.Schedule(*this, due);
+  }
+}
+
+}  // namespace masticpin
--- /dev/null
+++ b/masticpin/admission/admission_settings.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+
+#include "masticpin/base/time.h"
+
+namespace masticpin {
+
+/// Settings of a ConcurrencyLimiter.
+struct LimiterSettings {
+  /// Latency above this multiple of the reference latency lowers the limit (the knee).
+  double knee = 2.0;
+  /// Factor of one decrease.
+  double decrease = 0.9;
+  /// Latencies in one average. 50 exponentially distributed service times have an average whose
+  /// standard deviation is 14%, far enough from the knee.
+  std::uint32_t round_samples = 50;
+  /// Age at which the reference latency is measured again at half the limit.
+  Duration reference_window = std::chrono::seconds(10);
+};
+
+/// Settings of an AdmissionController.
+struct AdmissionSettings {
+  /// Slots of the upstream from the manifest; at least 1. The limit never exceeds it.
+  std::uint32_t ceiling = 1;
+  /// Longest wait in the queue. Values below `hold_down` count as `hold_down`, because an important
+  /// request that is refused earlier could follow the admission of a less important one.
+  Duration queue_wait_bound = std::chrono::milliseconds(100);
+  /// Time after a refusal in which nothing less important is admitted.
+  Duration hold_down = std::chrono::milliseconds(100);
+  /// Most requests that wait. Holds 100 ms of arrivals at ten times the capacity of 220 slots with
+  /// a service time of 3.4 ms. Waiting requests belong to their owners; the queue allocates none.
+  std::size_t queue_capacity = 65536;
+  /// Consecutive connection failures after which the upstream counts as unreachable. One or two
+  /// also occur when an upstream restarts a worker.
+  std::uint32_t unreachable_after = 3;
+  /// Shortest time between two requests that test an unreachable upstream.
+  Duration unreachable_test_interval = std::chrono::milliseconds(50);
+  /// Retry-after at a refusal while the load is just above the capacity.
+  Duration retry_after_base = std::chrono::milliseconds(100);
+  /// Longest retry-after before jitter.
+  Duration retry_after_bound = std::chrono::seconds(5);
+  LimiterSettings limiter;
+};
+
+}  // namespace masticpin
--- /dev/null
+++ b/masticpin/admission/concurrency_limiter.cc
@@ -0,0 +1,154 @@
+#include "masticpin/admission/concurrency_limiter.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace masticpin {
+
+namespace {
+
+/// Weight of a new service time in the moving average: it follows a change within 16 requests.
+constexpr int kExpectedWeight = 16;
+
+/// If the latency stays above this share of its first value while the limit is halved, it does not
+/// come from concurrency. With queueing it would fall to about one half.
+constexpr double kUselessDecrease = 0.75;
+
+/// Up to this multiple of the reference a latency counts as unchanged; round averages vary by 14%.
+constexpr double kUnchanged = 1.2;
+
+}  // namespace
+
+ConcurrencyLimiter::ConcurrencyLimiter(const LimiterSettings& settings, std::uint32_t ceiling)
+    : settings(settings), ceiling(ceiling) {
+  assert(ceiling >= 1);
+  this->Restart();
+}
+
+std::uint32_t ConcurrencyLimiter::Limit() const {
+  const auto whole = static_cast<std::uint32_t>(this->limit);
+  return std::clamp<std::uint32_t>(whole, 1, this->ceiling);
+}
+
+void ConcurrencyLimiter::SetCeiling(std::uint32_t new_ceiling) {
+  assert(new_ceiling >= 1);
+  this->ceiling = new_ceiling;
+  this->limit = std::min<double>(this->limit, new_ceiling);
+  this->saved_limit = std::min<double>(this->saved_limit, new_ceiling);
+  this->run_limit = std::min<double>(this->run_limit, new_ceiling);
+}
+
+void ConcurrencyLimiter::OnSuccess(TimePoint now, Duration service_time, std::uint32_t in_flight) {
+  this->expected = this->expected == Duration::zero()
+                       ? service_time
+                       : this->expected + (service_time - this->expected) / kExpectedWeight;
+
+  // Grow by one per limit's worth of completions while the limit is used.
+  const bool used = in_flight >= this->Limit();
+  if (used && !this->congested && !this->measuring) {
+    this->limit = std::min<double>(this->limit + 1 / this->limit, this->ceiling);
+  }
+
+  // Requests admitted under the full limit do not count in a measurement at half the limit.
+  if (this->measuring && now < this->measuring_from) {
+    return;
+  }
+  ++this->round_count;
+  this->round_sum += service_time;
+  if (this->round_count >= std::max(this->Limit(), this->settings.round_samples)) {
+    this->EndRound(now);
+  }
+}
+
+void ConcurrencyLimiter::OnShed(TimePoint now) {
+  this->Decrease(now);
+}
+
+void ConcurrencyLimiter::Restart() {
+  this->limit = std::max<double>(this->ceiling / 4, 1);
+  this->reference = Duration::zero();
+  this->congested = false;
+  this->measuring = false;
+  this->ClearRound();
+}
+
+Duration ConcurrencyLimiter::ExpectedServiceTime() const {
+  return this->expected;
+}
+
+void ConcurrencyLimiter::EndRound(TimePoint now) {
+  const Duration average = this->round_sum / this->round_count;
+  this->ClearRound();
+  if (this->measuring) {
+    this->EndReferenceMeasurement(now, average);
+    return;
+  }
+  if (this->reference == Duration::zero() || average < this->reference) {
+    this->SetReference(now, average);
+  }
+
+  const bool was_congested = this->congested;
+  this->congested = average > this->settings.knee * this->reference;
+  if (this->congested) {
+    if (!was_congested) {
+      this->run_limit = this->limit;
+      this->run_latency = average;
+    }
+    this->OnCongestedRound(now, average);
+    return;
+  }
+
+  // Renew an old reference: directly if the latency has not changed, otherwise by a measurement,
+  // because a reference taken at the knee would let the limit drift upwards.
+  if (now - this->reference_time < this->settings.reference_window) {
+    return;
+  }
+  if (average <= kUnchanged * this->reference) {
+    this->SetReference(now, average);
+  } else {
+    this->measuring = true;
+    this->measuring_from = now + average;
+    this->saved_limit = this->limit;
+    this->limit = std::max(this->limit / 2, 1.0);
+  }
+}
+
+void ConcurrencyLimiter::OnCongestedRound(TimePoint now, Duration average) {
+  const bool halved = this->limit <= std::max(this->run_limit / 2, 1.0);
+  if (halved && average > kUselessDecrease * this->run_latency) {
+    // Fewer requests did not make the upstream faster: it is slow, not congested. A lower limit
+    // would only waste slots.
+    this->SetReference(now, average);
+    this->limit = this->run_limit;
+    this->congested = false;
+    return;
+  }
+  this->Decrease(now);
+}
+
+void ConcurrencyLimiter::EndReferenceMeasurement(TimePoint now, Duration average) {
+  this->SetReference(now, average);
+  this->limit = this->saved_limit;
+  this->measuring = false;
+}
+
+void ConcurrencyLimiter::SetReference(TimePoint now, Duration latency) {
+  this->reference = latency;
+  this->reference_time = now;
+}
+
+void ConcurrencyLimiter::Decrease(TimePoint now) {
+  // The effect of a decrease shows after one round trip.
+  if (now - this->last_decrease < this->expected) {
+    return;
+  }
+  this->last_decrease = now;
+  this->limit = std::max(this->limit * this->settings.decrease, 1.0);
+}
+
+void ConcurrencyLimiter::ClearRound() {
+  this->round_count = 0;
+  this->round_sum = Duration::zero();
+}
+
+}  // namespace masticpin
--- /dev/null
+++ b/masticpin/testing/admission_policy.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "masticpin/admission/admission_controller.h"
+
+namespace masticpin {
+
+/// What an OverloadSimulation needs of the admission that it drives.
+class AdmissionPolicy {
+ public:
+  virtual ~AdmissionPolicy() = default;
+
+  virtual void Offer(AdmissionRequest& request) = 0;
+  /// Returns true if the request was waiting and is forgotten now.
+  virtual bool Withdraw(AdmissionRequest& request) = 0;
+  virtual void Complete(AdmissionRequest& request, Completion completion, Duration time) = 0;
+};
+
+/// The admission of masticpin.
+class ControlledAdmission : public AdmissionPolicy {
+ public:
+  ControlledAdmission(const AdmissionSettings& settings,
+                      const Clock& clock,
+                      TimerService& timers,
+                      RandomSource& random)
+      : controller(settings, clock, timers, random) {}
+
+  void Offer(AdmissionRequest& request) override { this->controller.Offer(request); }
+  bool Withdraw(AdmissionRequest& request) override { return this->controller.Withdraw(request); }
+  void Complete(AdmissionRequest& request, Completion completion, Duration time) override {
+    this->controller.Complete(request, completion, time);
+  }
+
+  AdmissionController& Controller() { return this->controller; }
+
+ private:
+  AdmissionController controller;
+};
+
+}  // namespace masticpin
--- /dev/null
+++ b/masticpin/testing/overload_simulation.h
@@ -0,0 +1,354 @@
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <deque>
+#include <memory>
+#include <vector>
+
+#include "masticpin/testing/admission_policy.h"
+#include "masticpin/testing/fake_clock.h"
+#include "masticpin/testing/inversion_counter.h"
+#include "masticpin/testing/naive_admission.h"
+#include "masticpin/testing/seeded_random.h"
+#include "masticpin/testing/simulated_upstream.h"
+
+namespace masticpin {
+
+/// Arrivals of one importance.
+struct TrafficShare {
+  std::uint8_t importance;
+  /// Part of all actions; the shares of one phase add up to 1.
+  double share;
+};
+
+/// A time with constant load.
+struct TrafficPhase {
+  Duration length;
+  /// Actions offered per second, as a multiple of the upstream's capacity at full speed.
+  double load;
+  std::vector<TrafficShare> shares;
+  /// Factor of the upstream's service times.
+  int slowdown = 1;
+};
+
+struct SimulationSettings {
+  std::uint64_t seed = 1;
+  std::uint32_t slots = 10;
+  Duration service_time = std::chrono::milliseconds(20);
+  /// How long a caller waits for one try.
+  Duration timeout = std::chrono::milliseconds(500);
+  int retries = 10;
+  /// Pause of a caller before a retry. Callers do not follow Retry-After unless `polite`.
+  Duration retry_pause = std::chrono::milliseconds(20);
+  bool polite = false;
+  bool naive = false;
+  /// Entries of the naive queue: 4 s of work, as much as a queue of one entry for each connection.
+  std::size_t naive_capacity = 2000;
+  /// Cancel a running action of importance 0 when a more important one has to wait.
+  bool cancel_running = false;
+  Duration cancel_time = std::chrono::milliseconds(1);
+  AdmissionSettings admission;
+};
+
+/// Callers, an admission policy and a simulated upstream on a fake clock. One action is tried until
+/// a try is answered before its timeout or no retry is left.
+class OverloadSimulation {
+ public:
+  explicit OverloadSimulation(const SimulationSettings& settings)
+      : settings(settings),
+        arrivals(settings.seed),
+        service(settings.seed + 1),
+        jitter(settings.seed + 2),
+        upstream(this->clock, this->service, settings.slots, settings.service_time),
+        arrival_timer([this] { this->OnArrival(); }) {
+    if (settings.naive) {
+      this->policy = std::make_unique<NaiveAdmission>(settings.slots, settings.naive_capacity);
+    } else {
+      AdmissionSettings admission = settings.admission;
+      admission.ceiling = settings.slots;
+      auto controlled =
+          std::make_unique<ControlledAdmission>(admission, this->clock, this->clock, this->jitter);
+      this->controller = &controlled->Controller();
+      this->policy = std::move(controlled);
+    }
+  }
+
+  /// Lets the callers finish, so that no request is left in the policy.
+  ~OverloadSimulation() {
+    this->clock.Cancel(this->arrival_timer);
+    this->stopped = true;
+    while (this->live_tries > 0) {
+      this->clock.Advance(std::chrono::seconds(1));
+    }
+  }
+
+  /// Runs one phase to its end.
+  void Run(const TrafficPhase& next) {
+    this->phase = next;
+    this->upstream.SetSlowdown(next.slowdown);
+    if (next.load > 0) {
+      this->ScheduleArrival();
+    } else {
+      this->clock.Cancel(this->arrival_timer);
+    }
+    this->clock.Advance(next.length);
+  }
+
+  TimePoint Now() const { return this->clock.Now(); }
+  /// Actions per second that the upstream can serve at full speed.
+  double Capacity() const {
+    return this->settings.slots /
+           std::chrono::duration<double>(this->settings.service_time).count();
+  }
+  std::uint32_t MaxPresent() const { return this->upstream.MaxPresent(); }
+  std::uint64_t Inversions() const { return this->inversions.Count(); }
+  std::uint64_t Cancelled() const { return this->cancelled; }
+  /// The controller, or nullptr with the naive policy.
+  AdmissionController* Controller() { return this->controller; }
+
+  /// Actions of at least `importance` that arrived in [from, to).
+  double Offered(TimePoint from, TimePoint to, std::uint8_t importance = 0) const {
+    return this->Count(from, to, importance, [](const Action& action) { return action.arrival; });
+  }
+
+  /// Actions of at least `importance` that were answered in [from, to).
+  double Answered(TimePoint from, TimePoint to, std::uint8_t importance = 0) const {
+    return this->Count(from, to, importance, [](const Action& action) { return action.answered; });
+  }
+
+  /// 99th percentile, in milliseconds, of the time from arrival to answer over the actions that
+  /// arrived in [from, to). An action without an answer counts as infinitely late.
+  double P99(TimePoint from, TimePoint to, std::uint8_t importance = 0) const {
+    std::vector<double> times;
+    for (const Action& action : this->actions) {
+      if (action.arrival >= from && action.arrival < to && action.importance >= importance) {
+        times.push_back(action.answered == TimePoint{} ? std::numeric_limits<double>::infinity()
+                                                       : std::chrono::duration<double, std::milli>(
+                                                             action.answered - action.arrival)
+                                                             .count());
+      }
+    }
+    if (times.empty()) {
+      return 0;
+    }
+    const std::size_t index = times.size() * 99 / 100;
+    std::nth_element(times.begin(), times.begin() + index, times.end());
+    return times[index];
+  }
+
+ private:
+  struct Action {
+    TimePoint arrival;
+    /// Time of the answer; the default value while there is none.
+    TimePoint answered{};
+    std::uint8_t importance;
+    std::uint16_t rank;
+    int retries_left;
+  };
+
+  /// One request of a caller. It is reused when neither the caller nor the policy needs it.
+  struct Try : AdmissionRequest {
+    explicit Try(OverloadSimulation& simulation)
+        : simulation(simulation),
+          timer([this] { this->simulation.OnCallerTimer(*this); }),
+          job([this] { this->simulation.OnServed(*this); }),
+          cancellation([this] { this->simulation.OnCancelled(*this); }) {}
+
+    void OnAdmitted() override { this->simulation.OnAdmitted(*this); }
+    void OnRefused(ErrorKind, Duration retry_after) override {
+      this->simulation.OnRefused(*this, retry_after);
+    }
+
+    OverloadSimulation& simulation;
+    Action* action = nullptr;
+    FunctionTimer timer;
+    SimulatedUpstream::Job job;
+    FunctionTimer cancellation;
+    TimePoint started{};
+    /// The caller waits for the answer (otherwise for the time of its retry, or no longer).
+    bool caller_waits = false;
+    bool caller_pauses = false;
+    bool in_policy = false;
+    bool running = false;
+    bool cancelling = false;
+  };
+
+  template <typename Time>
+  double Count(TimePoint from, TimePoint to, std::uint8_t importance, Time time) const {
+    return static_cast<double>(
+        std::count_if(this->actions.begin(), this->actions.end(), [&](const Action& action) {
+          return action.importance >= importance && time(action) >= from && time(action) < to;
+        }));
+  }
+
+  void ScheduleArrival() {
+    // Exponential gaps make a Poisson process.
+    const double uniform = (static_cast<double>(this->arrivals.Next() >> 11) + 1) / 0x1p53;
+    const double gap = -std::log(uniform) / (this->phase.load * this->Capacity());
+    this->clock.Schedule(this->arrival_timer,
+                         this->clock.Now() + std::chrono::duration_cast<Duration>(
+                                                 std::chrono::duration<double>(gap)));
+  }
+
+  void OnArrival() {
+    double point = static_cast<double>(this->arrivals.Next() >> 11) / 0x1p53;
+    std::uint8_t importance = this->phase.shares.back().importance;
+    for (const TrafficShare& share : this->phase.shares) {
+      if (point < share.share) {
+        importance = share.importance;
+        break;
+      }
+      point -= share.share;
+    }
+    this->actions.push_back({this->clock.Now(),
+                             {},
+                             importance,
+                             static_cast<std::uint16_t>(this->arrivals.Next()),
+                             this->settings.retries});
+    this->ScheduleArrival();
+    this->StartTry(this->actions.back());
+  }
+
+  void StartTry(Action& action) {
+    if (this->free_tries.empty()) {
+      this->tries.emplace_back(*this);
+      this->free_tries.push_back(&this->tries.back());
+    }
+    Try& attempt = *this->free_tries.back();
+    this->free_tries.pop_back();
+    ++this->live_tries;
+    attempt.action = &action;
+    attempt.priority = {action.importance, action.rank};
+    attempt.deadline = this->clock.Now() + this->settings.timeout;
+    attempt.caller_waits = true;
+    attempt.in_policy = true;
+    this->clock.Schedule(attempt.timer, attempt.deadline);
+    this->policy->Offer(attempt);
+    if (this->settings.cancel_running && attempt.in_policy && !attempt.running) {
+      this->CancelFor(attempt);
+    }
+  }
+
+  /// Recycles a try that nobody needs any more.
+  void Release(Try& attempt) {
+    if (!attempt.caller_waits && !attempt.caller_pauses && !attempt.in_policy) {
+      this->clock.Cancel(attempt.timer);
+      this->free_tries.push_back(&attempt);
+      --this->live_tries;
+    }
+  }
+
+  /// The caller pauses before its retry, or gives up.
+  void FailTry(Try& attempt, Duration retry_after) {
+    attempt.caller_waits = false;
+    this->clock.Cancel(attempt.timer);
+    if (attempt.action->retries_left > 0 && !this->stopped) {
+      const Duration pause = this->settings.polite
+                                 ? std::max(retry_after, this->settings.retry_pause)
+                                 : this->settings.retry_pause;
+      attempt.caller_pauses = true;
+      this->clock.Schedule(attempt.timer, this->clock.Now() + pause);
+    }
+  }
+
+  void OnCallerTimer(Try& attempt) {
+    if (attempt.caller_pauses) {
+      attempt.caller_pauses = false;
+      --attempt.action->retries_left;
+      Action& action = *attempt.action;
+      this->Release(attempt);
+      if (!this->stopped) {
+        this->StartTry(action);
+      }
+      return;
+    }
+    // The timeout of the try.
+    if (!attempt.running && this->policy->Withdraw(attempt)) {
+      attempt.in_policy = false;
+    }
+    this->FailTry(attempt, Duration::zero());
+    this->Release(attempt);
+  }
+
+  void OnAdmitted(Try& attempt) {
+    this->inversions.OnAdmitted(this->clock.Now(), attempt.priority.importance);
+    attempt.running = true;
+    attempt.started = this->clock.Now();
+    if (this->settings.cancel_running && attempt.priority.importance == 0) {
+      this->cancellable.push_back(&attempt);
+    }
+    this->upstream.Begin(attempt.job);
+  }
+
+  void OnRefused(Try& attempt, Duration retry_after) {
+    this->inversions.OnRefused(this->clock.Now(), attempt.priority.importance);
+    attempt.in_policy = false;
+    if (attempt.caller_waits) {
+      this->FailTry(attempt, retry_after);
+    }
+    this->Release(attempt);
+  }
+
+  void OnServed(Try& attempt) {
+    if (attempt.caller_waits) {
+      attempt.caller_waits = false;
+      attempt.action->answered = this->clock.Now();
+    }
+    this->Leave(attempt, Completion::kSuccess);
+  }
+
+  void Leave(Try& attempt, Completion completion) {
+    std::erase(this->cancellable, &attempt);
+    this->clock.Cancel(attempt.cancellation);
+    attempt.cancelling = false;
+    attempt.running = false;
+    attempt.in_policy = false;
+    this->upstream.End(attempt.job);
+    const Duration time = this->clock.Now() - attempt.started;
+    this->policy->Complete(attempt, completion, time);
+    this->Release(attempt);
+  }
+
+  /// Cancels one running action of importance 0 in favour of `waiting`.
+  void CancelFor(const Try& waiting) {
+    if (waiting.priority.importance == 0 || this->cancellable.empty()) {
+      return;
+    }
+    Try& victim = *this->cancellable.back();
+    this->cancellable.pop_back();
+    victim.cancelling = true;
+    ++this->cancelled;
+    this->clock.Cancel(victim.job.end);
+    this->clock.Schedule(victim.cancellation, this->clock.Now() + this->settings.cancel_time);
+  }
+
+  void OnCancelled(Try& attempt) {
+    if (attempt.caller_waits) {
+      this->FailTry(attempt, Duration::zero());
+    }
+    this->Leave(attempt, Completion::kCancelled);
+  }
+
+  const SimulationSettings settings;
+  FakeClock clock;
+  SeededRandom arrivals;
+  SeededRandom service;
+  SeededRandom jitter;
+  SimulatedUpstream upstream;
+  std::unique_ptr<AdmissionPolicy> policy;
+  AdmissionController* controller = nullptr;
+  InversionCounter inversions;
+  TrafficPhase phase;
+  FunctionTimer arrival_timer;
+  std::deque<Action> actions;
+  std::deque<Try> tries;
+  std::vector<Try*> free_tries;
+  std::vector<Try*> cancellable;
+  std::uint64_t live_tries = 0;
+  std::uint64_t cancelled = 0;
+  bool stopped = false;
+};
+
+}  // namespace masticpin
--- /dev/null
+++ b/masticpin/testing/simulated_upstream.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+
+#include "masticpin/testing/fake_clock.h"
+#include "masticpin/testing/seeded_random.h"
+
+namespace masticpin {
+
+/// A timer that calls a function.
+class FunctionTimer : public TimerSubscriber {
+ public:
+  explicit FunctionTimer(std::function<void()> function) : function(std::move(function)) {}
+  void OnTimer(TimePoint) override { this->function(); }
+
+ private:
+  std::function<void()> function;
+};
+
+/// An upstream with a number of slots and a FIFO backlog behind them. The service time is uniform
+/// in half to one and a half times the mean.
+class SimulatedUpstream {
+ public:
+  struct Job {
+    explicit Job(std::function<void()> done) : end(std::move(done)) {}
+    FunctionTimer end;
+  };
+
+  SimulatedUpstream(FakeClock& clock, SeededRandom& random, std::uint32_t slots, Duration mean)
+      : clock(clock), random(random), slots(slots), mean(mean) {}
+
+  /// Service times of jobs that start from now on are multiplied by `factor`.
+  void SetSlowdown(int factor) { this->slowdown = factor; }
+
+  /// Takes a job; its timer runs at its end, when the owner calls End().
+  void Begin(Job& job) {
+    ++this->present;
+    this->max_present = std::max(this->max_present, this->present);
+    if (this->present <= this->slots) {
+      this->Run(job);
+    } else {
+      this->backlog.push_back(&job);
+    }
+  }
+
+  /// Gives the slot of a job that has ended or is cancelled to the next one.
+  void End(Job& job) {
+    this->clock.Cancel(job.end);
+    --this->present;
+    if (!this->backlog.empty()) {
+      Job& next = *this->backlog.front();
+      this->backlog.pop_front();
+      this->Run(next);
+    }
+  }
+
+  /// Most jobs that were present at one time.
+  std::uint32_t MaxPresent() const { return this->max_present; }
+
+ private:
+  void Run(Job& job) {
+    const auto range = static_cast<std::uint64_t>(this->mean.count());
+    const Duration time = this->mean / 2 + Duration(this->random.Below(range));
+    this->clock.Schedule(job.end, this->clock.Now() + time * this->slowdown);
+  }
+
+  FakeClock& clock;
+  SeededRandom& random;
+  const std::uint32_t slots;
+  const Duration mean;
+  int slowdown = 1;
+  std::uint32_t present = 0;
+  std::uint32_t max_present = 0;
+  std::deque<Job*> backlog;
+};
+
+}  // namespace masticpin
