--- a/masticpin/admission/admission_controller.h
+++ b/masticpin/admission/admission_controller.h
@@ -10,6 +10,7 @@
 #include "masticpin/admission/admission_statistics.h"
 #include "masticpin/admission/completion.h"
 #include "masticpin/admission/concurrency_limiter.h"
+#include "masticpin/admission/recent_decisions.h"
 #include "masticpin/base/clock.h"
 #include "masticpin/base/random_source.h"
 #include "masticpin/base/timer_service.h"
@@ -59,6 +60,70 @@
   LoadReport GetLoad() const;
 
   const AdmissionStatistics& Statistics() const { return this->statistics; }
+
+ private:
+  using RefusalList =
+      boost::intrusive::list<AdmissionRequest,
+                             boost::intrusive::member_hook<AdmissionRequest,
+                                                           boost::intrusive::list_member_hook<>,
+                                                           &AdmissionRequest::refusal_hook>,
+                             boost::intrusive::constant_time_size<false>>;
+  using TimePerImportance = std::array<TimePoint, kMaxImportance + 1>;
+
+  void OnTimer(TimePoint now) override;
+
+  /// Delivers refusals, removes what has waited too long, and admits while there are slots. Only
+  /// the outermost call does anything, so that callbacks see and cause no half-made decision.
+  void Process();
+  bool CanAdmit(const AdmissionRequest& request, TimePoint now) const;
+  void Admit(AdmissionRequest& request, TimePoint now);
+  /// Puts a request that is in no queue on the refusal list.
+  void Refuse(AdmissionRequest& request, ErrorKind kind, TimePoint now);
+  /// Removes a waiting request from the queue and refuses it.
+  void RefuseWaiting(AdmissionRequest& request, ErrorKind kind, TimePoint now);
+
+  /// Adds an idle request to the queue with its expiry.
+  void Enqueue(AdmissionRequest& request, TimePoint now);
+  /// Earliest time at which a refusal of `importance` follows no less important admission by less
+  /// than the hold-down.
+  TimePoint EarliestRefusal(std::uint8_t importance) const;
+  /// Time from which `importance` may be admitted again.
+  TimePoint HoldDownEnd(std::uint8_t importance) const;
+
+  void OnConnectionFailure(TimePoint now);
+  void OnConnection();
+  Duration RetryAfter(ErrorKind kind, TimePoint now);
+  void ScheduleTimer(TimePoint now);
+
+  const AdmissionSettings settings;
+  const Clock& clock;
+  TimerService& timers;
+  RandomSource& random;
+
+  AdmissionQueue queue;
+  ConcurrencyLimiter limiter;
+  RecentDecisions recent;
+  RefusalList refusals;
+  AdmissionStatistics statistics;
+
+  /// Time of the last refusal and of the last admission for each importance.
+  TimePerImportance refused_at;
+  TimePerImportance admitted_at;
+
+  std::uint32_t in_flight = 0;
+  bool draining = false;
+  /// A call of Process() is running.
+  bool processing = false;
+
+  /// Connection failures since the last connection.
+  std::uint32_t connection_failures = 0;
+  bool unreachable = false;
+  /// The request that tests an unreachable upstream.
+  const AdmissionRequest* test = nullptr;
+  TimePoint next_test{};
+
+  /// Time for which the timer is scheduled; TimePoint::max() if it is not.
+  TimePoint timer_due = TimePoint::max();
 };
 
 }  // namespace masticpin
--- a/masticpin/admission/admission_queue.h
+++ b/masticpin/admission/admission_queue.h
@@ -31,6 +31,9 @@
   /// The request with the earliest expiry. The queue must not be empty.
   AdmissionRequest& EarliestExpiry();
 
+  /// Exchanges the contents of both queues.
+  void Swap(AdmissionQueue& other);
+
  private:
   struct HigherPriority {
     bool operator()(const AdmissionRequest& a, const AdmissionRequest& b) const {
--- a/masticpin/admission/concurrency_limiter.h
+++ b/masticpin/admission/concurrency_limiter.h
@@ -39,12 +39,38 @@
  private:
   /// Evaluates a full round of latencies.
   void EndRound(TimePoint now);
+  /// Handles a round whose average is above the knee.
+  void OnCongestedRound(TimePoint now, Duration average);
+  void EndReferenceMeasurement(TimePoint now, Duration average);
+  void SetReference(TimePoint now, Duration latency);
   void Decrease(TimePoint now);
-  void StartReferenceMeasurement(TimePoint now);
+  void ClearRound();
 
   const LimiterSettings settings;
   std::uint32_t ceiling;
-  double limit;
+  double limit = 1;
+  Duration expected{};
+
+  /// Latencies of the current round.
+  std::uint32_t round_count = 0;
+  Duration round_sum{};
+
+  /// Lowest average of the window; 0 before the first round.
+  Duration reference{};
+  TimePoint reference_time{};
+
+  /// The last round was above the knee.
+  bool congested = false;
+  TimePoint last_decrease{};
+  /// Limit and average at the first of the current run of congested rounds.
+  double run_limit = 0;
+  Duration run_latency{};
+
+  /// The reference is being measured at half of `saved_limit`.
+  bool measuring = false;
+  double saved_limit = 0;
+  /// Latencies before this time belong to requests admitted under the full limit.
+  TimePoint measuring_from{};
 };
 
 }  // namespace masticpin
