Implement the manifest parser and comparison

A node must refuse a wrong document as a whole and an operator must see all its mistakes at once. The parser reads INI by inih, reports every problem with file, line, section and key, and computes the cost of each kind from the leaves of the call graph without recursion. The problems of one file are capped at 1000, because 1 MiB of wrong lines would otherwise take far more memory than the text.

inih reports neither line numbers nor section starts to its handler, keeps comments in continuation lines and splits lines of over 198 bytes silently; the reader in masticpin/base handles these cases.

--- a/masticpin/manifest/kind_ref.h
+++ b/masticpin/manifest/kind_ref.h
@@ -10,6 +10,8 @@
   std::string service;
   std::string name;
 
+  // clang-tidy 14 takes the comparison with the literal 0 in the defaulted operator for a pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const KindRef&) const = default;
 };
 
--- /dev/null
+++ b/masticpin/manifest/manifest_parser_test.cc
@@ -0,0 +1,315 @@
+#include "masticpin/manifest/manifest_parser.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <ostream>
+
+#include "masticpin/base/ini_problem_list.h"
+
+namespace masticpin {
+namespace {
+
+constexpr char kValid[] =
+    "[manifest]\n"
+    "version = 7\n"
+    "site = riga\n"
+    "[service ballot]\n"
+    "slots = 80\n"
+    "connections = 600\n"
+    "shed_status = 503\n"
+    "[service dues]\n"
+    "slots = 10\n"
+    "connections = 170\n"
+    "[kind ballot/vote]\n"
+    "importance = 9\n"
+    "idempotent = no\n"
+    "deadline_ms = 3000\n"
+    "attempts = 9\n"
+    "caller_tries = 10\n"
+    "key = required\n"
+    "calls = dues/standing,\n"
+    "        dues/standing ; one call on each line\n"
+    "[kind dues/standing]\n"
+    "importance = 5\n"
+    "idempotent = yes\n"
+    "deadline_ms = 1000\n"
+    "attempts = 3\n"
+    "caller_tries = 10\n"
+    "key = optional\n";
+
+std::string Replace(std::string text, std::string_view from, std::string_view to) {
+  const std::size_t position = text.find(from);
+  EXPECT_NE(position, std::string::npos) << from;
+  return text.replace(position, from.size(), to);
+}
+
+std::string AllProblems(const ManifestParseResult& result) {
+  std::string text;
+  for (const ManifestProblem& problem : result.problems) {
+    text += FormatProblem(problem) + "\n";
+  }
+  return text;
+}
+
+// Guards against values that are read into the wrong field or not at all.
+TEST(ManifestParserTest, ReadsAllFields) {
+  const ManifestParseResult result = ManifestParser::Parse(kValid, "m.ini");
+  ASSERT_TRUE(result.Ok()) << AllProblems(result);
+  const Manifest& manifest = *result.manifest;
+  EXPECT_EQ(manifest.Version(), 7U);
+  EXPECT_EQ(manifest.Site(), "riga");
+  EXPECT_EQ(manifest.LongestDeadline(), std::chrono::seconds(3));
+  EXPECT_EQ(manifest.Services().size(), 2U);
+  const ServiceSpec* ballot = manifest.FindService("ballot");
+  ASSERT_NE(ballot, nullptr);
+  EXPECT_EQ(ballot->slots, 80U);
+  EXPECT_EQ(ballot->connections, 600U);
+  EXPECT_EQ(ballot->shed_status, 503);
+  EXPECT_EQ(manifest.FindService("ballo"), nullptr);
+  EXPECT_EQ(manifest.FindService("votes"), nullptr);
+  const KindSpec* vote = manifest.FindKind("ballot", "vote");
+  ASSERT_NE(vote, nullptr);
+  EXPECT_EQ(vote->importance, 9);
+  EXPECT_FALSE(vote->idempotent);
+  EXPECT_TRUE(vote->key_required);
+  EXPECT_EQ(vote->attempts, 9U);
+  EXPECT_EQ(vote->caller_tries, 10U);
+  EXPECT_EQ(vote->calls, (std::vector<KindRef>(2, {"dues", "standing"})));
+  EXPECT_EQ(vote->cost, 3U) << "a kind that is listed twice counts twice";
+  EXPECT_EQ(manifest.FindKind("dues", "vote"), nullptr);
+}
+
+// One edit of the valid text and the problem that it must cause.
+struct Mistake {
+  std::string name;
+  std::string from;
+  std::string to;
+  int line;
+  std::string section;
+  std::string key;
+  std::string message_part;
+};
+
+void PrintTo(const Mistake& mistake, std::ostream* out) {
+  *out << mistake.name;
+}
+
+class ManifestMistakeTest : public testing::TestWithParam<Mistake> {};
+
+// Guards against accepting a manifest with this mistake, and against a message that does not lead
+// to it or does not say what is allowed.
+TEST_P(ManifestMistakeTest, IsReported) {
+  const Mistake& mistake = GetParam();
+  const ManifestParseResult result =
+      ManifestParser::Parse(Replace(kValid, mistake.from, mistake.to), "m.ini");
+  EXPECT_FALSE(result.Ok());
+  ASSERT_EQ(result.problems.size(), 1U) << AllProblems(result);
+  const ManifestProblem& problem = result.problems.front();
+  EXPECT_EQ(problem.file, "m.ini");
+  EXPECT_EQ(problem.line, mistake.line);
+  EXPECT_EQ(problem.section, mistake.section);
+  EXPECT_EQ(problem.key, mistake.key);
+  EXPECT_NE(problem.message.find(mistake.message_part), std::string::npos) << problem.message;
+}
+
+const std::string kVote = "kind ballot/vote";
+const std::string kBallot = "service ballot";
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    ManifestMistakeTest,
+    testing::Values(
+        Mistake{"UnknownKey", "slots = 80", "slots = 80\nslot = 1", 6, kBallot, "slot",
+                "allowed keys: slots, connections, shed_status"},
+        Mistake{"UnknownSection", "[service dues]", "[services]\n[service dues]", 8, "services", "",
+                "allowed sections: [manifest]"},
+        Mistake{"MissingKey", "slots = 80\n", "", 4, kBallot, "slots", "missing key"},
+        Mistake{"MissingManifest", "[manifest]\nversion = 7\nsite = riga\n", "", 0, "manifest", "",
+                "missing section"},
+        Mistake{"CallsMissingService", "calls = dues/standing", "calls = due/standing", 18, kVote,
+                "calls", "[service due] must exist"},
+        Mistake{"CallsMissingKind", "calls = dues/standing", "calls = dues/stand", 18, kVote,
+                "calls", "[kind dues/stand] must exist"},
+        Mistake{"CallsWithoutSlash", "calls = dues/standing", "calls = dues", 18, kVote, "calls",
+                "SERVICE/NAME"},
+        Mistake{"CallsEmptyItem", "calls = dues/standing", "calls = dues/standing,", 18, kVote,
+                "calls", "SERVICE/NAME"},
+        Mistake{"Cycle", "key = optional", "key = optional\ncalls = ballot/vote", 18, kVote,
+                "calls", "ballot/vote -> dues/standing -> ballot/vote"},
+        Mistake{"SelfCycle", "key = optional", "key = optional\ncalls = dues/standing", 27,
+                "kind dues/standing", "calls", "dues/standing -> dues/standing"},
+        Mistake{"NegativeNumber", "slots = 80", "slots = -80", 5, kBallot, "slots",
+                "whole number from 1 to 100000, not \"-80\""},
+        Mistake{"NonNumeric", "deadline_ms = 3000", "deadline_ms = 3 s", 14, kVote, "deadline_ms",
+                "whole number from 1 to 600000"},
+        Mistake{"NumberOverflow", "version = 7", "version = 18446744073709551616", 2, "manifest",
+                "version", "whole number"},
+        Mistake{"Zero", "caller_tries = 10", "caller_tries = 0", 16, kVote, "caller_tries",
+                "from 1 to 1000"},
+        Mistake{"DuplicateSection", "[service dues]",
+                "[service ballot]\nslots = 1\n"
+                "connections = 1\n[service dues]",
+                8, kBallot, "", "duplicate section"},
+        Mistake{"DuplicateKey", "slots = 80", "slots = 80\nslots = 81", 6, kBallot, "slots",
+                "duplicate key"},
+        Mistake{"ImportanceOutOfRange", "importance = 9", "importance = 10", 12, kVote,
+                "importance", "from 0 to 9"},
+        Mistake{"AttemptsBelowCost", "attempts = 9", "attempts = 2", 15, kVote, "attempts",
+                "must be at least 3"},
+        Mistake{"TooLarge", "[manifest]", std::string(1 << 20, '#') + "\n[manifest]", 0, "", "",
+                "at most 1048576"},
+        Mistake{"NotUtf8", "site = riga", "site = r\xC0\xAFga", 3, "", "", "UTF-8"},
+        Mistake{"NulByte", "site = riga", std::string("site = ri\0ga", 12), 3, "", "", "UTF-8"},
+        Mistake{"OptionalKeyForNonIdempotent", "key = required", "key = optional", 17, kVote, "key",
+                "must be required for a kind that is not idempotent"},
+        Mistake{"SiteName", "site = riga", "site = Riga", 3, "manifest", "site", "a-z, 0-9"},
+        Mistake{"ServiceName", "[service dues]",
+                "[service Dues]\nslots = 1\nconnections = 1\n"
+                "[service dues]",
+                8, "service Dues", "", "a-z, 0-9"},
+        Mistake{"KindName", "[kind dues/standing]",
+                "[kind dues/s_t]\nimportance = 1\n"
+                "idempotent = yes\ndeadline_ms = 1\nattempts = 1\ncaller_tries = 1\n"
+                "key = required\n[kind dues/standing]",
+                20, "kind dues/s_t", "", "a-z, 0-9"},
+        Mistake{"KindOfMissingService", "[kind dues/standing]",
+                "[kind due/s]\nimportance = 1\n"
+                "idempotent = yes\ndeadline_ms = 1\nattempts = 1\ncaller_tries = 1\n"
+                "key = required\n[kind dues/standing]",
+                20, "kind due/s", "", "[service due] must exist"},
+        Mistake{"WrongChoice", "idempotent = no", "idempotent = false", 13, kVote, "idempotent",
+                "must be yes or no"},
+        Mistake{"SuccessAsShedStatus", "shed_status = 503", "shed_status = 200", 7, kBallot,
+                "shed_status", "from 400 to 599"},
+        Mistake{"LineWithoutValue", "slots = 80", "slots = 80\nslots", 6, kBallot, "",
+                "expected \"key = value\""},
+        Mistake{"KeyBeforeSection", "[manifest]", "slots = 1\n[manifest]", 1, "", "slots",
+                "must follow a section heading"},
+        Mistake{"LongLine", "slots = 80", "slots = 80\n; " + std::string(200, 'x'), 6, kBallot, "",
+                "a line has at most"},
+        Mistake{"IndentedKey", "connections = 600", " connections = 600\nconnections = 600", 6,
+                kBallot, "", "start a key in the first column"},
+        Mistake{"TextAfterHeading", "[service dues]", "[service dues] slots = 3", 8, "service dues",
+                "", "only a comment"}),
+    [](const testing::TestParamInfo<Mistake>& info) { return info.param.name; });
+
+// Guards against stopping at the first mistake: an operator wants to see all of them at once.
+TEST(ManifestParserTest, ReportsAllProblemsOrderedByLine) {
+  std::string text = Replace(kValid, "version = 7", "version = x");
+  text = Replace(text, "slots = 80", "slots = 0");
+  text = Replace(text, "attempts = 3", "attempts = many");
+  const ManifestParseResult result = ManifestParser::Parse(text, "m.ini");
+  ASSERT_EQ(result.problems.size(), 3U) << AllProblems(result);
+  EXPECT_EQ(result.problems[0].line, 2);
+  EXPECT_EQ(result.problems[1].line, 5);
+  EXPECT_EQ(result.problems[2].line, 24);
+}
+
+// Guards against a list of problems that takes far more memory than the text.
+TEST(ManifestParserTest, BoundsTheNumberOfProblems) {
+  std::string text;
+  while (text.size() + 2 <= ManifestParser::kMaxTextBytes) {
+    text += "x\n";
+  }
+  const ManifestParseResult result = ManifestParser::Parse(text, "m.ini");
+  EXPECT_EQ(result.problems.size(), IniProblemList::kMaxProblems + 1);
+  EXPECT_NE(result.problems.back().message.find("not listed"), std::string::npos);
+}
+
+// Returns a manifest in which kind k<i> of one service calls k<i+1> `fan_out` times.
+std::string Chain(int length, int fan_out, std::string_view attempts) {
+  std::string text = "[manifest]\nversion = 1\nsite = s\n[service s]\nslots = 1\nconnections = 1\n";
+  for (int i = 0; i < length; ++i) {
+    text += "[kind s/k" + std::to_string(i) + "]\nimportance = 1\nidempotent = yes\nattempts = ";
+    text.append(attempts) += "\ndeadline_ms = 1\ncaller_tries = 1\nkey = required\n";
+    for (int call = 0; call < fan_out && i + 1 < length; ++call) {
+      text += (call == 0 ? "calls = s/k" : ",\n s/k") + std::to_string(i + 1);
+    }
+    text += "\n";
+  }
+  return text;
+}
+
+// Guards against recursion over the call graph, which would overflow the stack of a node thread.
+TEST(ManifestParserTest, ComputesCostOfVeryLongChain) {
+  const ManifestParseResult result = ManifestParser::Parse(Chain(6000, 1, "6000"), "m.ini");
+  ASSERT_TRUE(result.Ok()) << AllProblems(result);
+  EXPECT_EQ(result.manifest->FindKind("s", "k0")->cost, 6000U);
+}
+
+// Guards against an overflow of the cost, which grows exponentially with the depth of the graph and
+// would pass the check of the attempts after it wrapped around to a small number.
+TEST(ManifestParserTest, CostSaturates) {
+  const ManifestParseResult result = ManifestParser::Parse(Chain(60, 2, "1000000"), "m.ini");
+  ASSERT_FALSE(result.Ok());
+  EXPECT_NE(result.problems.front().message.find("at least 4294967295"), std::string::npos)
+      << AllProblems(result);
+}
+
+// Guards against a crash on any bytes that the configuration service may deliver.
+RC_GTEST_PROP(ManifestParserProperty, AcceptsAnyBytes, (const std::string& text)) {
+  const ManifestParseResult result = ManifestParser::Parse(text, "m.ini");
+  RC_ASSERT(result.Ok() == result.problems.empty());
+}
+
+// Guards against a crash on text that is nearly valid, which random bytes rarely reach.
+RC_GTEST_PROP(ManifestParserProperty, AcceptsAnyEditsOfValidText, ()) {
+  std::string text = kValid;
+  const auto edits = *rc::gen::inRange(1, 6);
+  for (int i = 0; i < edits && !text.empty(); ++i) {
+    const auto position = *rc::gen::inRange<std::size_t>(0, text.size());
+    const auto length = *rc::gen::inRange<std::size_t>(0, 20);
+    text.replace(position, length,
+                 *rc::gen::oneOf(rc::gen::element<std::string>("[", "]", "\n", " ", "=", ",", "/",
+                                                               "-1", "[kind a/b]\n", ";", "\r"),
+                                 rc::gen::arbitrary<std::string>()));
+  }
+  const ManifestParseResult result = ManifestParser::Parse(text, "m.ini");
+  RC_ASSERT(result.Ok() == result.problems.empty());
+}
+
+// Guards against a difference between what Format() writes and what Parse() reads.
+RC_GTEST_PROP(ManifestParserProperty, FormatAndParseRoundTrip, ()) {
+  const auto kind_count = *rc::gen::inRange(1, 12);
+  std::vector<KindSpec> kinds;
+  for (int i = 0; i < kind_count; ++i) {
+    KindSpec kind;
+    kind.service = *rc::gen::element<std::string>("a", "b-2");
+    kind.name = "k" + std::to_string(i);
+    kind.importance = static_cast<std::uint8_t>(*rc::gen::inRange(0, 10));
+    kind.idempotent = *rc::gen::arbitrary<bool>();
+    kind.key_required = !kind.idempotent || *rc::gen::arbitrary<bool>();
+    kind.deadline = std::chrono::milliseconds(*rc::gen::inRange(1, 600'001));
+    kind.caller_tries = static_cast<std::uint32_t>(*rc::gen::inRange(1, 1001));
+    // Calls only go to earlier kinds, so there is no cycle.
+    const auto calls = kinds.empty() ? 0 : *rc::gen::inRange(0, 4);
+    for (int call = 0; call < calls; ++call) {
+      const KindSpec& callee = kinds[*rc::gen::inRange<std::size_t>(0, kinds.size())];
+      kind.calls.push_back({callee.service, callee.name});
+      kind.cost += callee.cost;
+    }
+    kind.attempts = std::min(1'000'000U, kind.cost + *rc::gen::inRange(0U, 100U));
+    RC_PRE(kind.cost <= kind.attempts);
+    kinds.push_back(std::move(kind));
+  }
+  const std::vector<ServiceSpec> services = {
+      {"a", *rc::gen::inRange(1U, 100'001U), *rc::gen::inRange(1U, 100'001U), std::nullopt},
+      {"b-2", 1, 1, *rc::gen::inRange(400, 600)}};
+  const Manifest manifest(*rc::gen::inRange<std::uint64_t>(1, UINT64_MAX), "site-1", services,
+                          kinds);
+
+  const std::string text = ManifestParser::Format(manifest);
+  const ManifestParseResult result = ManifestParser::Parse(text, "m.ini");
+
+  RC_LOG(text + AllProblems(result));
+  RC_ASSERT(result.Ok());
+  RC_ASSERT(ManifestParser::Format(*result.manifest) == text);
+  for (const KindSpec& kind : kinds) {
+    RC_ASSERT(result.manifest->FindKind(kind.service, kind.name)->cost == kind.cost);
+  }
+}
+
+}  // namespace
+}  // namespace masticpin
