--- a/masticpin/execution/ledger_entry.h
+++ b/masticpin/execution/ledger_entry.h
@@ -35,6 +35,8 @@
   LedgerEntry& operator=(const LedgerEntry&) = delete;
 
   bool Idempotent() const { return this->idempotent; }
+  /// Whether this is an inner call, which an InnerCallTable finishes, and not an action.
+  bool IsInner() const { return this->parent != nullptr; }
   std::uint32_t Cost() const { return this->cost; }
   bool Running() const { return this->state == State::kRunning; }
 
--- a/net/execution_job.h
+++ b/net/execution_job.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "masticpin/admission/admission_request.h"
+#include "masticpin/base/instance_id.h"
 #include "masticpin/base/ref_counted.h"
 #include "masticpin/execution/execution.pb.h"
 #include "net/upstream_call.h"
--- a/net/node.cc
+++ b/net/node.cc
@@ -118,7 +118,8 @@
   transport_settings.secret_key = this->options.secret_key;
   try {
     const NodeCore::Section section(this->core);
-    this->transport = std::make_unique<PeerTransport>(transport_settings, *this);
+    PeerHandler& handler = *this;
+    this->transport = std::make_unique<PeerTransport>(transport_settings, handler);
     this->fleet.Members().AddObserver(*this);
     this->fleet.Documents().AddListener(*this);
   } catch (const zmq::error_t& error) {
@@ -441,7 +442,7 @@
 std::string Node::Validate(std::string_view name, std::uint64_t version, std::string_view bytes) {
   const ManifestParseResult parsed = ManifestParser::Parse(bytes, name);
   if (!parsed.Ok()) {
-    return parsed.problems.front().ToString();
+    return FormatProblem(parsed.problems.front());
   }
   if (parsed.manifest->Version() != version) {
     return "the version in the manifest differs from that of the document";
@@ -464,9 +465,10 @@
     settings.ceiling = service.slots;
     this->admission =
         std::make_unique<AdmissionController>(settings, this->clock, this->timers, this->random);
+    ReplySender& replies = *this;
     this->executor = std::make_unique<Executor>(
         this->core, this->clock, this->executions, *this->admission, this->inner_calls,
-        this->upstream, this->workers, *this, this->metrics);
+        this->upstream, this->workers, replies, this->metrics);
     if (this->draining) {
       this->executor->Drain();
     }
