Implement membership, routing and configuration

MemberTable keeps tombstones of departed incarnations, so neither the lagging list nor a late message revives them; a name claimed by two incarnations is settled by a Ping. InstanceSelector makes two random choices within a subset chosen by rendezvous hashing. DocumentStore never lowers a version; VersionGossip, DocumentTransfer, ConfigurationReader and StartupGate bring the highest version to every node. FleetState wires them together for the node.

--- a/masticpin/configuration/configuration_reader.h
+++ b/masticpin/configuration/configuration_reader.h
@@ -24,6 +24,8 @@
   /// that of fallback reads because readers are few.
   Duration first_backoff = std::chrono::milliseconds(500);
   Duration longest_backoff = std::chrono::seconds(4);
+  /// Shortest time between two calls, in case the service answers a watch at once without need.
+  Duration shortest_gap = std::chrono::milliseconds(100);
 };
 
 /// Reads and watches one document at the configuration service when the role of this node asks for
@@ -55,10 +57,14 @@
   std::uint64_t StaleAnswers() const { return this->stale_answers; }
 
  private:
-  void Call(Duration wait);
+  // What an answer says about the service.
+  enum class Verdict : std::uint8_t { kConfirmed, kBadValue, kStale, kThrottled, kFailed };
+
+  void EnterRole(ReaderRole new_role, TimePoint now);
+  void Call(TimePoint now);
   void OnAnswer(ServiceAnswer answer);
-  bool Apply(ServiceAnswer answer);
-  void ScheduleAfterFailure();
+  Verdict Apply(ServiceAnswer answer);
+  void Schedule(TimePoint now);
   Duration Jitter(Duration base);
 
   const std::string document;
@@ -74,6 +80,8 @@
   ReaderRole role = ReaderRole::kNone;
   Duration backoff{};
   TimePoint next_call{};
+  // When the call in progress counts as lost.
+  TimePoint call_deadline{};
   std::uint64_t calls = 0;
   std::uint64_t stale_answers = 0;
   ServiceStatus last_status = ServiceStatus::kUnavailable;
--- a/masticpin/configuration/document_listener.h
+++ b/masticpin/configuration/document_listener.h
@@ -11,6 +11,13 @@
 
   /// Must not offer another document from within the call.
   virtual void OnDocument(const Document& document) = 0;
+
+  /// An offered document was refused; `reason` is the text for the log. Older versions and the one
+  /// in force are not reported, because every stale read and every digest would be.
+  virtual void OnRefused(std::string_view /*name*/,
+                         std::uint64_t /*version*/,
+                         const DocumentSource& /*source*/,
+                         std::string_view /*reason*/) {}
 };
 
 }  // namespace masticpin
--- a/masticpin/configuration/document_store.h
+++ b/masticpin/configuration/document_store.h
@@ -66,6 +66,13 @@
   std::uint64_t Refusals() const { return this->refusals; }
 
  private:
+  OfferResult Refuse(std::string_view name,
+                     std::uint64_t version,
+                     std::uint64_t digest,
+                     const DocumentSource& source,
+                     std::string_view reason,
+                     OfferResult result);
+
   struct Refused {
     std::uint64_t version = 0;
     std::uint64_t digest = 0;
--- a/masticpin/configuration/document_transfer.h
+++ b/masticpin/configuration/document_transfer.h
@@ -70,7 +70,7 @@
   void Request(const std::string& name, FetchState& fetch);
   bool Assemble(FetchState& fetch, const InstanceId& from, const wire::DocumentPiece& piece);
   void Finish(const std::string& name, const InstanceId& from);
-  void UseNextSource(const std::string& name, FetchState& fetch);
+  void UseNextSource(const std::string& name);
   void ScheduleTimer();
 
   DocumentStore& store;
--- a/masticpin/configuration/reader_selection.h
+++ b/masticpin/configuration/reader_selection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 
 #include "masticpin/base/clock.h"
 #include "masticpin/membership/member_table.h"
@@ -44,8 +45,8 @@
   /// The service confirmed the versions to some reader `age` ago.
   void Confirm(Duration age);
 
-  /// Time since the last known confirmation, since the start if there was none.
-  Duration ConfirmationAge() const;
+  /// Time since the last known confirmation, if there was one.
+  std::optional<Duration> ConfirmationAge() const;
 
   /// Interval over which reads of nodes without a reader are spread, for the given back-off.
   Duration Spread(Duration backoff) const;
@@ -58,7 +59,8 @@
   const MemberTable& members;
   const Clock& clock;
   const Settings settings;
-  TimePoint confirmed_at;
+  const TimePoint started_at;
+  std::optional<TimePoint> confirmed_at;
 };
 
 }  // namespace masticpin
--- a/masticpin/configuration/startup_gate.h
+++ b/masticpin/configuration/startup_gate.h
@@ -28,6 +28,11 @@
   /// Reads per second of all starting nodes together at the service: a node waits up to
   /// (members / this rate) before it reads, in case the whole fleet starts at once.
   double fleet_rate = 400;
+  /// Back-off of further reads while neither the service nor a peer has a document.
+  Duration first_backoff = std::chrono::seconds(1);
+  Duration longest_backoff = std::chrono::seconds(60);
+  /// How long the gate waits for a version that a peer announced and nobody delivers.
+  Duration fetch_wait = std::chrono::seconds(3);
 };
 
 /// Keeps a starting node from serving before it has a configuration. It asks peers and the service
@@ -66,7 +71,9 @@
   void AskPeers();
   void AskService();
   void OnServiceAnswer(ServiceAnswer answer);
-  void TryOpen();
+  Duration ServiceSpread(Duration backoff) const;
+  bool SourcesSettled(TimePoint now) const;
+  void TryOpen(TimePoint now);
 
   const std::string document;
   DocumentStore& store;
@@ -83,12 +90,12 @@
   std::set<std::string> asked;
   std::set<std::string> answered;
   std::uint64_t highest = 0;
-  std::uint64_t highest_digest = 0;
+  // When the first source with a document answered; the epoch of the clock before.
   TimePoint first_answer{};
-  bool any_answer = false;
   bool service_answered = false;
   std::uint64_t service_call = 0;
   TimePoint service_due{};
+  Duration service_backoff{};
   TimePoint next_ask{};
   Duration repeat{};
 };
--- /dev/null
+++ b/masticpin/configuration/version_gossip.cc
@@ -0,0 +1,138 @@
+#include "masticpin/configuration/version_gossip.h"
+
+#include <algorithm>
+#include <chrono>
+#include <optional>
+#include <utility>
+
+namespace masticpin {
+
+namespace {
+
+// Added to the age of a confirmation at each hop, because the time of transit is not known. Without
+// it two nodes that exchange digests would keep a confirmation young.
+constexpr Duration kTransitAllowance = std::chrono::milliseconds(5);
+
+}  // namespace
+
+VersionGossip::VersionGossip(DocumentStore& store,
+                             DocumentTransfer& transfer,
+                             ReaderSelection& readers,
+                             MemberTable& members,
+                             EnvelopeSender& sender,
+                             const Clock& clock,
+                             TimerService& timers,
+                             RandomSource& random,
+                             Settings settings)
+    : store(store),
+      transfer(transfer),
+      readers(readers),
+      members(members),
+      sender(sender),
+      clock(clock),
+      timers(timers),
+      random(random),
+      settings(settings) {
+  this->store.AddListener(*this);
+}
+
+void VersionGossip::Start() {
+  // The first round is at a random time, so that nodes which start together do not stay in step.
+  const auto period = static_cast<std::uint64_t>(this->settings.period.count());
+  this->timers.Schedule(*this, this->clock.Now() + Duration(this->random.Below(period)));
+}
+
+void VersionGossip::OnTimer(TimePoint now) {
+  const wire::MemberUpdate changes =
+      this->members.RecentChanges(this->settings.change_life, this->settings.max_changes);
+  for (const Ref<const Member>& peer :
+       this->members.RandomPeers(this->settings.fanout, this->random)) {
+    this->sender.Send(peer->id, this->MakeDigest(false, false));
+    if (changes.members_size() > 0) {
+      wire::Envelope envelope;
+      *envelope.mutable_member_update() = changes;
+      this->sender.Send(peer->id, std::move(envelope));
+    }
+  }
+  this->timers.Schedule(*this, now + this->settings.period);
+}
+
+void VersionGossip::OnDocument(const Document& /*document*/) {
+  for (const Ref<const Member>& peer :
+       this->members.RandomPeers(this->settings.fanout, this->random)) {
+    this->sender.Send(peer->id, this->MakeDigest(false, false));
+  }
+}
+
+void VersionGossip::OnDigest(const InstanceId& from, const wire::VersionDigest& digest) {
+  if (digest.confirmed_ms_ago() != 0) {
+    this->readers.Confirm(std::chrono::milliseconds(digest.confirmed_ms_ago()) + kTransitAllowance);
+  }
+  this->Compare(from, digest);
+}
+
+void VersionGossip::Compare(const InstanceId& from, const wire::VersionDigest& digest) {
+  // Fetch what the peer has and this node lacks.
+  std::size_t level = 0;
+  for (const wire::DocumentVersion& theirs : digest.documents()) {
+    const Document* ours = this->store.Find(theirs.name());
+    if (ours == nullptr || ours->version < theirs.version()) {
+      this->transfer.Fetch(theirs, from);
+    } else if (ours->version == theirs.version()) {
+      ++level;
+      this->conflicts += ours->digest != theirs.digest() ? 1 : 0;
+    }
+  }
+  // Tell the peer when it lacks something. An answer is not answered: two nodes that lack different
+  // documents would exchange digests without end.
+  if (digest.answer()) {
+    return;
+  }
+  wire::VersionDigest held;
+  this->store.FillDigest(held);
+  bool peer_is_behind = false;
+  if (level < static_cast<std::size_t>(held.documents_size())) {
+    for (const wire::DocumentVersion& ours : held.documents()) {
+      std::uint64_t version = 0;
+      for (const wire::DocumentVersion& theirs : digest.documents()) {
+        version = theirs.name() == ours.name() ? theirs.version() : version;
+      }
+      peer_is_behind = peer_is_behind || version < ours.version();
+    }
+  }
+  if (digest.reply_wanted() || peer_is_behind) {
+    this->sender.Send(from, this->MakeDigest(false, true));
+  }
+}
+
+void VersionGossip::OnVersionSeen(const InstanceId& from,
+                                  const std::string& name,
+                                  std::uint64_t version) {
+  if (version <= this->store.VersionOf(name)) {
+    return;
+  }
+  wire::DocumentVersion document;
+  document.set_name(name);
+  document.set_version(version);
+  this->transfer.Fetch(document, from);
+}
+
+void VersionGossip::SendDigest(const InstanceId& to, bool reply_wanted) {
+  this->sender.Send(to, this->MakeDigest(reply_wanted, false));
+}
+
+wire::Envelope VersionGossip::MakeDigest(bool reply_wanted, bool answer) const {
+  wire::Envelope envelope;
+  wire::VersionDigest& digest = *envelope.mutable_version_digest();
+  this->store.FillDigest(digest);
+  digest.set_reply_wanted(reply_wanted);
+  digest.set_answer(answer);
+  const std::optional<Duration> age = this->readers.ConfirmationAge();
+  if (age.has_value()) {
+    const auto whole = std::chrono::ceil<std::chrono::milliseconds>(*age).count();
+    digest.set_confirmed_ms_ago(std::max<std::uint64_t>(static_cast<std::uint64_t>(whole), 1));
+  }
+  return envelope;
+}
+
+}  // namespace masticpin
--- a/masticpin/configuration/version_gossip.h
+++ b/masticpin/configuration/version_gossip.h
@@ -59,8 +59,12 @@
 
   void OnTimer(TimePoint now) override;
 
+  /// Digests that named a version in force here with another content.
+  std::uint64_t Conflicts() const { return this->conflicts; }
+
  private:
-  void SendToRandomPeers(bool with_changes);
+  void Compare(const InstanceId& from, const wire::VersionDigest& digest);
+  wire::Envelope MakeDigest(bool reply_wanted, bool answer) const;
 
   DocumentStore& store;
   DocumentTransfer& transfer;
@@ -71,6 +75,7 @@
   TimerService& timers;
   RandomSource& random;
   const Settings settings;
+  std::uint64_t conflicts = 0;
 };
 
 }  // namespace masticpin
--- a/masticpin/fleet/fleet_state.h
+++ b/masticpin/fleet/fleet_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -32,6 +33,10 @@
   /// silence is a third of an epoch, so that the known epoch of a member stays acceptable to it.
   Duration ping_check = std::chrono::milliseconds(200);
   Duration ping_after = std::chrono::seconds(20);
+  /// A Ping without an answer for this long counts as a failure of the member.
+  Duration ping_timeout = std::chrono::seconds(1);
+  /// Peers asked after a pause; the first answer counts.
+  std::size_t recheck_peers = 3;
   MemberTable::Settings membership;
   InstanceSelector::Settings routing;
   VersionGossip::Settings gossip;
@@ -97,18 +102,19 @@
 
  private:
   struct PingState {
-    std::string name;
+    InstanceId to;
     TimePoint sent_at{};
   };
 
-  bool ApplySender(const wire::Envelope& envelope);
+  void ApplySender(const InstanceId& from, const wire::Envelope& envelope);
   bool HandleBody(const InstanceId& from, const wire::Envelope& envelope);
   void OnPing(const InstanceId& from, const wire::Ping& ping);
-  void OnPong(const wire::Pong& pong);
+  void OnPong(const InstanceId& from, const wire::Pong& pong);
   void OnPause(Duration length);
-  void EndRecheck();
-  void SendPing(const Member& member, Duration changes_wanted);
+  bool IsAnswerToPing(const wire::Envelope& envelope) const;
+  wire::Envelope MakePing(const InstanceId& to, Duration changes_wanted);
   void PingMembersInUse(TimePoint now);
+  bool NeedsPing(const Member& member, TimePoint now) const;
   void ExpirePings(TimePoint now);
 
   const Settings settings;
@@ -127,12 +133,15 @@
   StartupGate gate;
   PauseDetector pause_detector;
   std::vector<std::string> services_in_use;
-  std::unordered_map<std::uint64_t, PingState> pings;
+  // Unanswered pings by their number, and the number of the last one for each name.
+  std::map<std::uint64_t, PingState> pings;
+  std::unordered_map<std::string, std::uint64_t> ping_of;
   std::uint64_t last_ping = 0;
   std::uint64_t pauses = 0;
   // End of the re-check after a pause; decisions wait until then or until a peer answered.
   TimePoint recheck_until{};
   bool rechecking = false;
+  bool recheck_answered = false;
 };
 
 }  // namespace masticpin
--- a/masticpin/membership/member.h
+++ b/masticpin/membership/member.h
@@ -31,7 +31,7 @@
   MemberState state = MemberState::kLive;
   /// Whether this is the node's own entry.
   bool self = false;
-  /// Whether nothing has been heard from the member since this process was last paused.
+  /// Whether the member has not answered a Ping since this process was last paused.
   bool unverified = false;
   /// Last epoch of the member's clock that this node has received.
   std::uint32_t epoch = 0;
@@ -44,12 +44,9 @@
   /// Length of the present back-off; zero when the last contact was a success.
   Duration backoff{};
 
-  /// Whether the member may get requests at `now`.
-  bool Usable(TimePoint now) const {
-    return this->id.incarnation != 0 &&
-           (this->state == MemberState::kLive ||
-            (this->state == MemberState::kUnreachable && this->retry_at <= now));
-  }
+  /// Whether the member itself was heard, so that its incarnation and epoch are known. Work is
+  /// addressed to an incarnation and epoch and can only be sent to such a member.
+  bool Heard() const { return this->id.incarnation != 0 && this->last_heard != TimePoint{}; }
 };
 
 }  // namespace masticpin
--- /dev/null
+++ b/masticpin/membership/member_table.cc
@@ -0,0 +1,502 @@
+#include "masticpin/membership/member_table.h"
+
+#include <algorithm>
+#include <cassert>
+#include <unordered_set>
+#include <utility>
+
+namespace masticpin {
+
+namespace {
+
+// Changes kept for peers that ask after a pause. A larger number of changes within the life of a
+// tombstone means that most of the fleet restarted; the platform's list has to help then.
+constexpr std::size_t kMaxChanges = 4096;
+
+}  // namespace
+
+MemberTable::MemberTable(const Clock& clock, Member self, Settings settings)
+    : clock(clock), settings(settings), self(new Member(std::move(self))) {
+  assert(this->self->id.incarnation != 0);
+  this->self->self = true;
+  this->self->state = MemberState::kLive;
+  this->self->first_seen = this->clock.Now();
+  this->self->last_heard = this->clock.Now();
+  this->positions.emplace(this->self->id.name, 0);
+  this->members.push_back(this->self);
+}
+
+void MemberTable::AddObserver(MemberObserver& observer) {
+  this->observers.push_back(&observer);
+  for (const Ref<Member>& member : this->members) {
+    observer.OnMemberAdded(*member);
+  }
+}
+
+void MemberTable::RemoveObserver(MemberObserver& observer) {
+  std::erase(this->observers, &observer);
+}
+
+void MemberTable::ApplyList(const std::vector<ListedInstance>& list) {
+  const TimePoint now = this->clock.Now();
+  this->Prune(now);
+  std::unordered_set<std::string_view> listed;
+  for (const ListedInstance& instance : list) {
+    listed.insert(instance.name);
+    Member* member = this->FindMutable(instance.name);
+    if (member != nullptr) {
+      this->ApplyListed(*member, instance, now);
+    } else if (!instance.leaving && !this->departed_names.contains(instance.name)) {
+      Ref<Member> added(new Member);
+      added->id.name = instance.name;
+      added->service = instance.service;
+      added->zone = instance.zone;
+      added->peer_endpoint = instance.peer_endpoint;
+      added->http_address = instance.http_address;
+      added->first_seen = now;
+      this->Add(std::move(added));
+    }
+  }
+  // Confirm removals. A member that still talks to this node is kept: the list may lag behind it.
+  std::vector<std::string> gone;
+  for (const Ref<Member>& member : this->members) {
+    const bool silent = now - member->last_heard > this->settings.unlisted_life || !member->Heard();
+    if (!member->self && !listed.contains(member->id.name) &&
+        (member->state != MemberState::kLive || silent)) {
+      gone.push_back(member->id.name);
+    }
+  }
+  for (const std::string& name : gone) {
+    this->Remove(name);
+  }
+}
+
+void MemberTable::ApplyListed(Member& member, const ListedInstance& instance, TimePoint now) {
+  if (member.self) {
+    return;
+  }
+  const std::string http_before = member.http_address;
+  member.http_address = instance.http_address;
+  // Until the instance has spoken, the list is the only source of its address.
+  bool changed = http_before != member.http_address;
+  if (!member.Heard() && member.peer_endpoint != instance.peer_endpoint) {
+    member.peer_endpoint = instance.peer_endpoint;
+    changed = true;
+  }
+  // What the instance said itself within the lag of its messages is newer than the list. A
+  // departure that only the list knows is no tombstone: the list may be about an earlier
+  // incarnation.
+  const bool heard_lately =
+      member.Heard() && now - member.last_heard < this->settings.list_override;
+  if (instance.leaving && member.state != MemberState::kLeaving && !heard_lately) {
+    member.state = MemberState::kLeaving;
+    changed = true;
+  } else if (!instance.leaving && member.state == MemberState::kLeaving &&
+             !this->IsDeparted(member.id.incarnation)) {
+    member.state = MemberState::kLive;
+    changed = true;
+  }
+  if (changed) {
+    this->NotifyChanged(member, member.id.incarnation);
+  }
+}
+
+MemberNews MemberTable::ApplySender(const wire::Member& sender,
+                                    std::uint32_t epoch,
+                                    bool confirmed) {
+  const TimePoint now = this->clock.Now();
+  this->Prune(now);
+  if (sender.name().empty() || sender.incarnation() == 0 || sender.name() == this->self->id.name) {
+    return MemberNews::kIgnored;
+  }
+  const auto tombstone = this->tombstones.find(sender.incarnation());
+  if (tombstone != this->tombstones.end()) {
+    if (tombstone->second.left) {
+      return MemberNews::kIgnored;
+    }
+    // Replaced by another incarnation, perhaps because of a message that was late.
+    if (!confirmed) {
+      return MemberNews::kConflict;
+    }
+    this->tombstones.erase(tombstone);
+  }
+  Member* member = this->FindMutable(sender.name());
+  if (member == nullptr) {
+    Ref<Member> added(new Member);
+    added->id = InstanceId{sender.name(), sender.incarnation()};
+    added->first_seen = now;
+    added->last_heard = now;
+    this->departed_names.erase(sender.name());
+    member = &this->AddHeard(std::move(added), sender);
+    this->RecordChange(*member, now);
+  } else if (member->id.incarnation != sender.incarnation()) {
+    const bool present_one_lives = member->id.incarnation != 0 &&
+                                   member->state != MemberState::kLeaving &&
+                                   now - member->last_heard < this->settings.direct_trust;
+    if (present_one_lives && !confirmed) {
+      return MemberNews::kConflict;
+    }
+    this->SetIncarnation(*member, sender, now);
+  }
+  this->Hear(*member, sender, epoch, now);
+  return MemberNews::kApplied;
+}
+
+void MemberTable::Hear(Member& member,
+                       const wire::Member& sender,
+                       std::uint32_t epoch,
+                       TimePoint now) {
+  member.epoch = std::max(member.epoch, epoch);
+  member.last_heard = now;
+  bool changed = this->ApplyAddresses(member, sender);
+  if (sender.leaving()) {
+    this->MarkLeaving(member, now);
+    return;
+  }
+  if (member.state == MemberState::kLeaving) {
+    // Only the platform's list said so.
+    member.state = MemberState::kLive;
+    changed = true;
+  }
+  if (member.state == MemberState::kUnreachable) {
+    // A message from the member does not show that it can be reached, but it is worth a probe now.
+    member.retry_at = std::min(member.retry_at, now);
+  }
+  if (changed) {
+    this->NotifyChanged(member, member.id.incarnation);
+  }
+}
+
+void MemberTable::ApplyLeave(const InstanceId& id) {
+  const TimePoint now = this->clock.Now();
+  this->Prune(now);
+  if (id.incarnation == 0 || id.name == this->self->id.name) {
+    return;
+  }
+  Member* member = this->FindMutable(id);
+  if (member != nullptr) {
+    this->MarkLeaving(*member, now);
+  } else {
+    this->Bury(id.name, id.incarnation, true, now);
+  }
+}
+
+void MemberTable::ApplyUpdate(const wire::MemberUpdate& update) {
+  const TimePoint now = this->clock.Now();
+  this->Prune(now);
+  for (const wire::Member& news : update.members()) {
+    if (news.name().empty() || news.incarnation() == 0 || news.name() == this->self->id.name) {
+      continue;
+    }
+    if (news.leaving()) {
+      this->ApplyReportedLeave(news, now);
+    } else if (!this->tombstones.contains(news.incarnation())) {
+      this->ApplyReportedLive(news, now);
+    }
+  }
+}
+
+void MemberTable::ApplyReportedLeave(const wire::Member& news, TimePoint now) {
+  const auto tombstone = this->tombstones.find(news.incarnation());
+  if (tombstone != this->tombstones.end()) {
+    tombstone->second.left = true;
+    return;
+  }
+  Member* member = this->FindMutable(news.name());
+  if (member != nullptr && member->id.incarnation == 0) {
+    // The list named the instance, but it is not known which incarnation it meant. A successor
+    // becomes known from its own messages.
+    this->SetIncarnation(*member, news, now);
+  }
+  if (member != nullptr && member->id.incarnation == news.incarnation()) {
+    this->MarkLeaving(*member, now);
+    return;
+  }
+  this->Bury(news.name(), news.incarnation(), true, now);
+  this->RecordChange(news, now);
+}
+
+void MemberTable::ApplyReportedLive(const wire::Member& news, TimePoint now) {
+  Member* member = this->FindMutable(news.name());
+  if (member == nullptr) {
+    Ref<Member> added(new Member);
+    added->id = InstanceId{news.name(), news.incarnation()};
+    added->first_seen = now;
+    this->departed_names.erase(news.name());
+    this->RecordChange(this->AddHeard(std::move(added), news), now);
+  } else if (member->id.incarnation != news.incarnation()) {
+    const bool heard_lately =
+        member->Heard() && now - member->last_heard < this->settings.direct_trust;
+    if (!heard_lately || member->state == MemberState::kLeaving) {
+      this->SetIncarnation(*member, news, now);
+      this->ApplyAddresses(*member, news);
+    }
+  }
+}
+
+void MemberTable::OnFailure(const InstanceId& id) {
+  Member* member = this->FindMutable(id);
+  if (member == nullptr || member->self || member->state == MemberState::kLeaving) {
+    return;
+  }
+  const TimePoint now = this->clock.Now();
+  const bool first = member->state != MemberState::kUnreachable;
+  if (!first && now < member->retry_at) {
+    // One outage fails all requests in flight; it counts once.
+    return;
+  }
+  member->backoff = member->backoff == Duration::zero()
+                        ? this->settings.first_backoff
+                        : std::min(member->backoff * 2, this->settings.longest_backoff);
+  member->retry_at = now + member->backoff;
+  member->state = MemberState::kUnreachable;
+  if (first) {
+    this->NotifyChanged(*member, member->id.incarnation);
+  }
+}
+
+void MemberTable::OnSuccess(const InstanceId& id) {
+  Member* member = this->FindMutable(id);
+  if (member == nullptr) {
+    return;
+  }
+  member->backoff = Duration::zero();
+  if (member->state == MemberState::kUnreachable) {
+    member->state = MemberState::kLive;
+    this->NotifyChanged(*member, member->id.incarnation);
+  }
+}
+
+void MemberTable::OnProbe(const InstanceId& id) {
+  Member* member = this->FindMutable(id);
+  if (member != nullptr && member->state == MemberState::kUnreachable) {
+    member->retry_at = this->clock.Now() + member->backoff;
+  }
+}
+
+void MemberTable::MarkUnverified() {
+  for (const Ref<Member>& member : this->members) {
+    member->unverified = !member->self;
+  }
+}
+
+void MemberTable::Verify(const InstanceId& id) {
+  Member* member = this->FindMutable(id);
+  if (member != nullptr) {
+    member->unverified = false;
+  }
+}
+
+void MemberTable::LeaveSelf() {
+  this->self->state = MemberState::kLeaving;
+  this->NotifyChanged(*this->self, this->self->id.incarnation);
+}
+
+Ref<const Member> MemberTable::Find(std::string_view name) const {
+  const auto position = this->positions.find(name);
+  return position == this->positions.end() ? nullptr : this->members[position->second];
+}
+
+Ref<const Member> MemberTable::Find(const InstanceId& id) const {
+  Ref<const Member> member = this->Find(std::string_view(id.name));
+  return member != nullptr && member->id.incarnation == id.incarnation ? member : nullptr;
+}
+
+std::vector<Ref<const Member>> MemberTable::RandomPeers(std::size_t count,
+                                                        RandomSource& random) const {
+  std::vector<Ref<const Member>> chosen;
+  const auto eligible = [](const Member& member) {
+    return !member.self && member.state != MemberState::kLeaving;
+  };
+  if (this->members.size() <= 4 * count) {
+    // Few members: shuffle as many of them as are needed.
+    for (const Ref<Member>& member : this->members) {
+      if (eligible(*member)) {
+        chosen.push_back(member);
+      }
+    }
+    for (std::size_t i = 0; i < std::min(count, chosen.size()); ++i) {
+      std::swap(chosen[i], chosen[i + random.Below(chosen.size() - i)]);
+    }
+    chosen.resize(std::min(count, chosen.size()));
+    return chosen;
+  }
+  // Many members: draw until there are enough; the bound on the draws only matters when most
+  // members are leaving.
+  for (std::size_t draw = 0; draw < 8 * count && chosen.size() < count; ++draw) {
+    const Ref<Member>& member = this->members[random.Below(this->members.size())];
+    if (eligible(*member) && std::find(chosen.begin(), chosen.end(), member) == chosen.end()) {
+      chosen.push_back(member);
+    }
+  }
+  return chosen;
+}
+
+wire::MemberUpdate MemberTable::RecentChanges(Duration age, std::size_t count) const {
+  wire::MemberUpdate update;
+  const TimePoint oldest = this->clock.Now() - age;
+  for (auto change = this->changes.rbegin(); change != this->changes.rend(); ++change) {
+    if (change->at < oldest || static_cast<std::size_t>(update.members_size()) >= count) {
+      break;
+    }
+    *update.add_members() = change->member;
+  }
+  return update;
+}
+
+bool MemberTable::IsDeparted(std::uint64_t incarnation) const {
+  return this->tombstones.contains(incarnation);
+}
+
+void MemberTable::Prune(TimePoint now) {
+  while (!this->expiries.empty() && this->expiries.front().first <= now) {
+    const auto tombstone = this->tombstones.find(this->expiries.front().second);
+    this->expiries.pop_front();
+    // A confirmed incarnation lost its tombstone and may have got a later one.
+    if (tombstone == this->tombstones.end() || tombstone->second.expires > now) {
+      continue;
+    }
+    const Tombstone expired = std::move(tombstone->second);
+    const std::uint64_t incarnation = tombstone->first;
+    this->tombstones.erase(tombstone);
+    const auto departed = this->departed_names.find(expired.name);
+    if (departed != this->departed_names.end() && departed->second <= now) {
+      this->departed_names.erase(departed);
+    }
+    if (this->FindMutable(InstanceId{expired.name, incarnation}) != nullptr) {
+      this->Remove(expired.name);
+    }
+  }
+  while (!this->changes.empty() &&
+         (this->changes.size() > kMaxChanges ||
+          this->changes.front().at + this->settings.tombstone_life < now)) {
+    this->changes.pop_front();
+  }
+}
+
+void MemberTable::Bury(const std::string& name,
+                       std::uint64_t incarnation,
+                       bool left,
+                       TimePoint now) {
+  const TimePoint expires = now + this->settings.tombstone_life;
+  Tombstone& tombstone = this->tombstones[incarnation];
+  tombstone.name = name;
+  tombstone.expires = expires;
+  tombstone.left = tombstone.left || left;
+  this->expiries.emplace_back(expires, incarnation);
+  if (left && !this->positions.contains(name)) {
+    this->departed_names[name] = expires;
+  }
+}
+
+void MemberTable::RecordChange(const Member& member, TimePoint now) {
+  wire::Member change;
+  change.set_name(member.id.name);
+  change.set_incarnation(member.id.incarnation);
+  change.set_service(member.service);
+  change.set_zone(member.zone);
+  change.set_peer_endpoint(member.peer_endpoint);
+  change.set_leaving(member.state == MemberState::kLeaving);
+  this->RecordChange(change, now);
+}
+
+void MemberTable::RecordChange(const wire::Member& member, TimePoint now) {
+  this->changes.push_back(Change{now, member});
+}
+
+Member& MemberTable::Add(Ref<Member> member) {
+  this->positions.emplace(member->id.name, this->members.size());
+  this->members.push_back(std::move(member));
+  Member& added = *this->members.back();
+  for (MemberObserver* observer : this->observers) {
+    observer->OnMemberAdded(added);
+  }
+  return added;
+}
+
+Member& MemberTable::AddHeard(Ref<Member> member, const wire::Member& news) {
+  member->service = news.service();
+  member->zone = news.zone();
+  member->peer_endpoint = news.peer_endpoint();
+  return this->Add(std::move(member));
+}
+
+void MemberTable::Remove(const std::string& name) {
+  const auto position = this->positions.find(name);
+  assert(position != this->positions.end());
+  const Ref<Member> removed = this->members[position->second];
+  assert(!removed->self);
+  // Fill the gap with the last member.
+  this->members[position->second] = this->members.back();
+  this->positions.find(this->members.back()->id.name)->second = position->second;
+  this->members.pop_back();
+  this->positions.erase(position);
+  const auto tombstone = this->tombstones.find(removed->id.incarnation);
+  if (tombstone != this->tombstones.end() && tombstone->second.left) {
+    this->departed_names[removed->id.name] = tombstone->second.expires;
+  }
+  for (MemberObserver* observer : this->observers) {
+    observer->OnMemberRemoved(*removed);
+  }
+}
+
+void MemberTable::SetIncarnation(Member& member, const wire::Member& news, TimePoint now) {
+  const std::uint64_t previous = member.id.incarnation;
+  if (previous != 0 && !this->tombstones.contains(previous)) {
+    this->Bury(member.id.name, previous, false, now);
+  }
+  member.id.incarnation = news.incarnation();
+  member.state = MemberState::kLive;
+  member.epoch = 0;
+  member.first_seen = now;
+  member.last_heard = TimePoint{};
+  member.backoff = Duration::zero();
+  member.unverified = false;
+  // An incarnation of a name that only the list knew is no news to others: they ask it themselves
+  // when they need it.
+  if (previous != 0) {
+    this->RecordChange(news, now);
+  }
+  this->NotifyChanged(member, previous);
+}
+
+bool MemberTable::ApplyAddresses(Member& member, const wire::Member& news) {
+  const auto assign = [](std::string& field, const std::string& value) {
+    const bool differs = !value.empty() && field != value;
+    if (differs) {
+      field = value;
+    }
+    return differs;
+  };
+  bool changed = assign(member.service, news.service());
+  changed = assign(member.zone, news.zone()) || changed;
+  return assign(member.peer_endpoint, news.peer_endpoint()) || changed;
+}
+
+void MemberTable::MarkLeaving(Member& member, TimePoint now) {
+  if (this->IsDeparted(member.id.incarnation)) {
+    return;
+  }
+  member.state = MemberState::kLeaving;
+  this->Bury(member.id.name, member.id.incarnation, true, now);
+  this->RecordChange(member, now);
+  this->NotifyChanged(member, member.id.incarnation);
+}
+
+void MemberTable::NotifyChanged(const Member& member, std::uint64_t previous_incarnation) {
+  for (MemberObserver* observer : this->observers) {
+    observer->OnMemberChanged(member, previous_incarnation);
+  }
+}
+
+Member* MemberTable::FindMutable(std::string_view name) {
+  const auto position = this->positions.find(name);
+  return position == this->positions.end() ? nullptr : this->members[position->second].get();
+}
+
+Member* MemberTable::FindMutable(const InstanceId& id) {
+  Member* member = this->FindMutable(std::string_view(id.name));
+  return member != nullptr && member->id.incarnation == id.incarnation ? member : nullptr;
+}
+
+}  // namespace masticpin
--- a/masticpin/membership/member_table.h
+++ b/masticpin/membership/member_table.h
@@ -31,6 +31,8 @@
   /// What other nodes say about an incarnation does not replace one from which this node itself has
   /// heard within this time: such news are likely to be late.
   Duration direct_trust = std::chrono::seconds(2);
+  /// A departure that only the platform's list knows counts when the member was silent for longer.
+  Duration list_override = std::chrono::seconds(5);
 };
 
 /// What became of news about a member.
@@ -86,6 +88,10 @@
   /// Marks all members as not heard from since this process was paused.
   void MarkUnverified();
 
+  /// The member answered a Ping that was sent after the last pause. Other messages do not count:
+  /// they may have waited in a buffer during the pause.
+  void Verify(const InstanceId& id);
+
   /// Marks the own entry as leaving.
   void LeaveSelf();
 
@@ -125,9 +131,15 @@
   void Prune(TimePoint now);
   void Bury(const std::string& name, std::uint64_t incarnation, bool left, TimePoint now);
   void RecordChange(const Member& member, TimePoint now);
+  void RecordChange(const wire::Member& member, TimePoint now);
   Member& Add(Ref<Member> member);
+  Member& AddHeard(Ref<Member> member, const wire::Member& news);
   void Remove(const std::string& name);
-  void SetIncarnation(Member& member, std::uint64_t incarnation, TimePoint now);
+  void ApplyListed(Member& member, const ListedInstance& instance, TimePoint now);
+  void ApplyReportedLeave(const wire::Member& news, TimePoint now);
+  void ApplyReportedLive(const wire::Member& news, TimePoint now);
+  void Hear(Member& member, const wire::Member& sender, std::uint32_t epoch, TimePoint now);
+  void SetIncarnation(Member& member, const wire::Member& news, TimePoint now);
   bool ApplyAddresses(Member& member, const wire::Member& news);
   void MarkLeaving(Member& member, TimePoint now);
   void NotifyChanged(const Member& member, std::uint64_t previous_incarnation);
--- /dev/null
+++ b/masticpin/membership/pause_detector.cc
@@ -0,0 +1,49 @@
+#include "masticpin/membership/pause_detector.h"
+
+#include <utility>
+
+namespace masticpin {
+
+namespace {
+
+constexpr Duration kPeriod = std::chrono::milliseconds(100);
+
+// Ordinary scheduling delays of a busy machine stay well below this; leases and reports of other
+// nodes are older than their life after it.
+constexpr Duration kPauseLength = std::chrono::seconds(1);
+
+}  // namespace
+
+PauseDetector::PauseDetector(const Clock& clock, TimerService& timers, Callback callback)
+    : clock(clock), timers(timers), callback(std::move(callback)) {}
+
+void PauseDetector::Start() {
+  this->running = true;
+  this->expected = this->clock.Now() + kPeriod;
+  this->timers.Schedule(*this, this->expected);
+}
+
+void PauseDetector::OnTimer(TimePoint now) {
+  if (!this->CheckAt(now)) {
+    this->expected = now + kPeriod;
+    this->timers.Schedule(*this, this->expected);
+  }
+}
+
+bool PauseDetector::Check() {
+  return this->CheckAt(this->clock.Now());
+}
+
+bool PauseDetector::CheckAt(TimePoint now) {
+  if (!this->running || now - this->expected <= kPauseLength) {
+    return false;
+  }
+  const Duration late = now - this->expected;
+  // The next timer is expected anew before the callback, which may ask again.
+  this->expected = now + kPeriod;
+  this->timers.Schedule(*this, this->expected);
+  this->callback(late);
+  return true;
+}
+
+}  // namespace masticpin
--- a/masticpin/membership/pause_detector.h
+++ b/masticpin/membership/pause_detector.h
@@ -23,6 +23,8 @@
   bool Check();
 
  private:
+  bool CheckAt(TimePoint now);
+
   const Clock& clock;
   TimerService& timers;
   Callback callback;
--- a/masticpin/routing/instance_selector.h
+++ b/masticpin/routing/instance_selector.h
@@ -102,28 +102,40 @@
   enum class Tier : std::uint8_t { kGood, kRefuses, kUnverified, kNoLimit, kProbe, kNever };
   struct Candidate {
     const Instance* instance = nullptr;
-    double score = 0;
     double share = 1;
   };
+  struct Position {
+    Service* service = nullptr;
+    std::uint32_t index = 0;
+  };
+  struct Choice {
+    const Instance* instance = nullptr;
+    Tier tier = Tier::kNever;
+  };
   struct Means {
     double utilisation = 0;
     double limit = 1;
   };
 
-  Service* FindService(std::string_view service);
   Instance* FindInstance(const InstanceId& id);
   const Instance* FindInstance(const InstanceId& id) const;
+  void Add(const Member& member);
+  void Remove(std::string_view name);
   void RebuildSubset(Service& service);
   Tier TierOf(const Instance& instance, const SelectionRequest& request, TimePoint now) const;
   double FreshnessOf(const Instance& instance, TimePoint now) const;
   double ShareOf(const Member& member, TimePoint now) const;
-  Means MeansOf(const Service& service, TimePoint now) const;
-  double ScoreOf(const Instance& instance, const Means& means, TimePoint now) const;
-  const Instance* ChooseFrom(const Service& service,
-                             std::span<const std::uint32_t> positions,
-                             const SelectionRequest& request,
-                             TimePoint now);
-  const Instance* ChooseOfTwo(std::span<const Candidate> candidates);
+  double ScoreOf(const Candidate& candidate, const Means& means, TimePoint now) const;
+  template <typename Positions>
+  Choice ChooseFrom(const Service& service,
+                    const Positions& positions,
+                    const SelectionRequest& request,
+                    TimePoint now);
+  std::size_t DrawCandidate(double total_share);
+  const Instance* BetterOf(const Candidate& a,
+                           const Candidate& b,
+                           const Means& means,
+                           TimePoint now) const;
 
   struct StringHash {
     using is_transparent = void;  // NOLINT(readability-identifier-naming)
@@ -138,6 +150,10 @@
   RandomSource& random;
   const Settings settings;
   std::unordered_map<std::string, Service, StringHash, std::equal_to<>> services;
+  std::unordered_map<std::string, Position, StringHash, std::equal_to<>> positions;
+  // Scratch space of Select() and RebuildSubset(), reserved when a member is added.
+  std::vector<Candidate> candidates;
+  std::vector<std::uint32_t> order;
 };
 
 }  // namespace masticpin
