Implement the execution and attempts modules

The ledger and the execution table take the epoch from their epoch counter, so their constructors lose the clock argument.

--- a/masticpin/attempts/attempt_budget.h
+++ b/masticpin/attempts/attempt_budget.h
@@ -13,8 +13,8 @@
  public:
   explicit AttemptBudget(std::uint32_t initial) : initial(initial), held(initial) {}
 
-  /// Attempts that are neither spent nor granted to somebody else.
-  std::uint32_t Held() const { return this->held; }
+  /// Attempts that can be spent or granted; 0 after Close().
+  std::uint32_t Held() const { return this->closed ? 0 : this->held; }
 
   /// Attempts that were used, or that were granted and never accounted for.
   std::uint32_t Spent() const { return this->initial - this->held; }
--- /dev/null
+++ b/masticpin/execution/action_ledger.cc
@@ -0,0 +1,273 @@
+#include "masticpin/execution/action_ledger.h"
+
+#include <algorithm>
+#include <bit>
+#include <cassert>
+#include <utility>
+
+#include "masticpin/error/answer_table.h"
+#include "masticpin/execution/execution_context.h"
+
+namespace masticpin {
+namespace {
+
+// Expired entries that one Begin() frees when the table is full. More than one, so that a sweep
+// that is behind catches up with the arrivals.
+constexpr std::size_t kSweepOnInsert = 4;
+
+}  // namespace
+
+ActionLedger::ActionLedger(const LedgerSettings& settings, KeyMint& mint, TimerService& timers)
+    : settings(settings),
+      mint(mint),
+      timers(timers),
+      buckets(std::bit_ceil(std::max<std::size_t>(settings.capacity, 1))),
+      table(Table::bucket_traits(this->buckets.data(), this->buckets.size())) {
+  const EpochCounter& counter = this->mint.Epochs();
+  this->timers.Schedule(*this, counter.StartOf(counter.Current() + 1));
+}
+
+ActionLedger::~ActionLedger() {
+  this->timers.Cancel(*this);
+  this->table.clear_and_dispose([](LedgerEntry* entry) { intrusive_ptr_release(entry); });
+}
+
+BeginResult ActionLedger::Begin(const ActionKey& key,
+                                const ActionTerms& terms,
+                                LedgerWaiter& waiter) {
+  if (const auto invalid = this->mint.Verify(key)) {
+    return BeginResult::Refused(*invalid);
+  }
+  ErrorKind error{};
+  LedgerEntry* entry = this->FindOrInsert(key, terms, error);
+  if (entry == nullptr) {
+    return BeginResult::Refused(error);
+  }
+  if (auto answer = this->AnswerOf(*entry, key)) {
+    return *std::move(answer);
+  }
+  if (entry->Running()) {
+    entry->waiters.push_back(waiter);
+    BeginResult joined;
+    joined.verdict = BeginVerdict::kJoined;
+    joined.entry = entry;
+    return joined;
+  }
+  return this->Start(*entry, waiter);
+}
+
+BeginResult ActionLedger::BeginKeyless(const ActionTerms& terms, LedgerWaiter& waiter) {
+  assert(terms.idempotent);
+  if (this->draining) {
+    return BeginResult::Refused(ErrorKind::kDraining);
+  }
+  const Ref<LedgerEntry> entry(new LedgerEntry(terms));
+  return this->Start(*entry, waiter);
+}
+
+BeginResult ActionLedger::Close(const ActionKey& key, const ActionTerms& terms, ErrorKind error) {
+  assert(IsNotRun(error));
+  if (const auto invalid = this->mint.Verify(key)) {
+    return BeginResult::Refused(*invalid);
+  }
+  ErrorKind closed{};
+  LedgerEntry* entry = this->FindOrInsert(key, terms, closed);
+  if (entry == nullptr) {
+    return BeginResult::Refused(closed);
+  }
+  if (auto answer = this->AnswerOf(*entry, key)) {
+    return *std::move(answer);
+  }
+  // The run that is in progress may still be reported by its own waiters; this caller only learns
+  // that the outcome is not known to it.
+  if (entry->Running()) {
+    return BeginResult::Refused(ErrorKind::kCancelled);
+  }
+  --entry->tries_left;
+  ActionResult result = ActionResult::Failed(error);
+  this->Fail(*entry, result);
+  return BeginResult::Refused(*result.error, std::move(result.successor));
+}
+
+void ActionLedger::Finish(LedgerEntry& entry, ActionResult result) {
+  assert(entry.Running());
+  assert((result.response != nullptr) != result.error.has_value());
+  const Ref<LedgerEntry> keep(&entry);
+  --this->running;
+  if (result.response) {
+    entry.state = LedgerEntry::State::kComplete;
+    this->Store(entry, result.response);
+  } else {
+    this->Fail(entry, result);
+  }
+  entry.Notify(result);
+}
+
+void ActionLedger::Fail(LedgerEntry& entry, ActionResult& result) {
+  const ErrorKind error = entry.Truthful(*result.error);
+  const bool again = entry.CanStartAgain();
+  result.error = error;
+  result.successor.reset();
+
+  // Unknown outcome: only an idempotent action may be sent again, and then with the same key.
+  if (!IsNotRun(error)) {
+    entry.NoteUnknown(error);
+    entry.state =
+        entry.idempotent && again ? LedgerEntry::State::kFresh : LedgerEntry::State::kUnknown;
+    return;
+  }
+
+  // Not run, but there is no key, or it expired during the run: nothing to close or to pass on.
+  if (!entry.by_epoch.is_linked()) {
+    entry.state = LedgerEntry::State::kExhausted;
+    return;
+  }
+
+  // Not run: the key is closed by a new generation, or for good.
+  if (!again) {
+    entry.state = LedgerEntry::State::kExhausted;
+    if (GetAnswer(error).caller_retry != CallerRetry::kNever) {
+      result.error = ErrorKind::kAttemptsExhausted;
+    }
+    return;
+  }
+  ++entry.generation;
+  entry.epoch = this->mint.Epochs().Current();
+  entry.by_epoch.unlink();
+  this->epochs[entry.epoch].push_back(entry);
+  entry.state = LedgerEntry::State::kFresh;
+  if (!this->draining) {
+    result.successor = this->mint.MintSuccessor(entry.epoch, entry.sequence, entry.generation);
+  }
+}
+
+LedgerEntry* ActionLedger::FindOrInsert(const ActionKey& key,
+                                        const ActionTerms& terms,
+                                        ErrorKind& error) {
+  if (const auto found = this->table.find(key.sequence); found != this->table.end()) {
+    return &*found;
+  }
+  // Successors always have an entry: it lives as long as the newest key of its action.
+  assert(key.generation == 0);
+  if (this->draining) {
+    error = ErrorKind::kDraining;
+    return nullptr;
+  }
+  const std::uint32_t current = this->mint.Epochs().Current();
+  if (key.epoch <= this->closed_epoch) {
+    error = this->closed_epoch == current ? ErrorKind::kLedgerFull : ErrorKind::kKeyClosed;
+    return nullptr;
+  }
+  if (this->table.size() >= this->settings.capacity) {
+    this->Sweep(kSweepOnInsert);
+  }
+  if (this->table.size() >= this->settings.capacity) {
+    this->closed_epoch = current;
+    error = ErrorKind::kLedgerFull;
+    return nullptr;
+  }
+
+  auto* entry = new LedgerEntry(terms);
+  intrusive_ptr_add_ref(entry);
+  entry->sequence = key.sequence;
+  entry->epoch = key.epoch;
+  this->table.insert(*entry);
+  this->epochs[key.epoch].push_back(*entry);
+  return entry;
+}
+
+std::optional<BeginResult> ActionLedger::AnswerOf(LedgerEntry& entry, const ActionKey& key) const {
+  assert(key.generation <= entry.generation);
+  switch (entry.state) {
+    case LedgerEntry::State::kExhausted:
+      return BeginResult::Refused(ErrorKind::kAttemptsExhausted);
+    case LedgerEntry::State::kFresh:
+      if (this->draining) {
+        return BeginResult::Refused(entry.Truthful(ErrorKind::kDraining));
+      }
+      break;
+    default:
+      break;
+  }
+  if (key.generation < entry.generation) {
+    return BeginResult::Refused(
+        ErrorKind::kKeyClosed,
+        this->mint.MintSuccessor(entry.epoch, entry.sequence, entry.generation));
+  }
+  if (entry.state == LedgerEntry::State::kUnknown) {
+    return BeginResult::Refused(*entry.unknown);
+  }
+  if (entry.state == LedgerEntry::State::kComplete) {
+    if (!entry.response) {
+      return BeginResult::Refused(ErrorKind::kAlreadyComplete);
+    }
+    BeginResult replay;
+    replay.verdict = BeginVerdict::kReplay;
+    replay.response = entry.response;
+    return replay;
+  }
+  return std::nullopt;
+}
+
+BeginResult ActionLedger::Start(LedgerEntry& entry, LedgerWaiter& waiter) {
+  assert(entry.state == LedgerEntry::State::kFresh && entry.tries_left > 0);
+  entry.state = LedgerEntry::State::kRunning;
+  --entry.tries_left;
+  ++this->running;
+  entry.waiters.push_back(waiter);
+  BeginResult start;
+  start.verdict = BeginVerdict::kStart;
+  start.entry = &entry;
+  return start;
+}
+
+void ActionLedger::Store(LedgerEntry& entry, Ref<const StoredResponse> response) {
+  if (!entry.by_epoch.is_linked() || response->Bytes() > this->settings.max_stored_response) {
+    return;
+  }
+  this->stored_bytes += response->Bytes();
+  entry.response = std::move(response);
+  this->with_response.push_back(entry);
+  while (this->stored_bytes > this->settings.stored_bytes) {
+    this->DropResponse(this->with_response.front());
+  }
+}
+
+void ActionLedger::DropResponse(LedgerEntry& entry) {
+  this->stored_bytes -= entry.response->Bytes();
+  entry.response.reset();
+  entry.by_response.unlink();
+}
+
+void ActionLedger::Forget(LedgerEntry& entry) {
+  if (entry.response) {
+    this->DropResponse(entry);
+  }
+  entry.by_epoch.unlink();
+  this->table.erase(this->table.iterator_to(entry));
+  intrusive_ptr_release(&entry);
+}
+
+bool ActionLedger::Sweep(std::size_t limit) {
+  const std::uint32_t current = this->mint.Epochs().Current();
+  while (!this->epochs.empty() && this->epochs.begin()->first + 1 < current) {
+    auto& expired = this->epochs.begin()->second;
+    for (; limit > 0 && !expired.empty(); --limit) {
+      this->Forget(expired.front());
+    }
+    if (!expired.empty()) {
+      return true;
+    }
+    this->epochs.erase(this->epochs.begin());
+  }
+  return false;
+}
+
+void ActionLedger::OnTimer(TimePoint now) {
+  const bool more = this->Sweep(this->settings.sweep_batch);
+  const EpochCounter& counter = this->mint.Epochs();
+  this->timers.Schedule(
+      *this, more ? now + this->settings.sweep_pause : counter.StartOf(counter.Current() + 1));
+}
+
+}  // namespace masticpin
--- a/masticpin/execution/action_ledger.h
+++ b/masticpin/execution/action_ledger.h
@@ -24,10 +24,7 @@
 /// know whether an earlier copy ran, and must report an unknown outcome.
 class ActionLedger : private TimerSubscriber {
  public:
-  ActionLedger(const LedgerSettings& settings,
-               KeyMint& mint,
-               const Clock& clock,
-               TimerService& timers);
+  ActionLedger(const LedgerSettings& settings, KeyMint& mint, TimerService& timers);
   ~ActionLedger() override;
 
   /// Decides about one request with a key. `terms` apply to the first request of an action;
@@ -87,14 +84,16 @@
   void Forget(LedgerEntry& entry);
   void Store(LedgerEntry& entry, Ref<const StoredResponse> response);
   void DropResponse(LedgerEntry& entry);
-  BeginResult Existing(LedgerEntry& entry, const ActionKey& key, LedgerWaiter* waiter);
-  BeginResult Start(LedgerEntry& entry, LedgerWaiter* waiter);
-  Ref<LedgerEntry> Insert(const ActionKey& key, const ActionTerms& terms);
-  std::optional<ActionKey> CloseGeneration(LedgerEntry& entry);
+  /// Finds or makes the entry of a verified key; null, with the error, if the key is closed.
+  LedgerEntry* FindOrInsert(const ActionKey& key, const ActionTerms& terms, ErrorKind& error);
+  /// The answer to a key that cannot start or join its action; nothing if it can.
+  std::optional<BeginResult> AnswerOf(LedgerEntry& entry, const ActionKey& key) const;
+  BeginResult Start(LedgerEntry& entry, LedgerWaiter& waiter);
+  /// Ends a run, or a request that never started, with `error`. Sets the successor in `result`.
+  void Fail(LedgerEntry& entry, ActionResult& result);
 
   const LedgerSettings settings;
   KeyMint& mint;
-  const Clock& clock;
   TimerService& timers;
   std::vector<Table::bucket_type> buckets;
   Table table;
--- a/masticpin/execution/execution_table.h
+++ b/masticpin/execution/execution_table.h
@@ -52,7 +52,6 @@
  public:
   ExecutionTable(const ExecutionTableSettings& settings,
                  std::uint64_t incarnation,
-                 const Clock& clock,
                  const EpochCounter& epochs,
                  TimerService& timers);
   ~ExecutionTable() override;
@@ -113,7 +112,6 @@
 
   const ExecutionTableSettings settings;
   const std::uint64_t incarnation;
-  const Clock& clock;
   const EpochCounter& epochs;
   TimerService& timers;
   // Entries come from a pool, so that accepting an execution makes no heap call in steady state.
--- /dev/null
+++ b/masticpin/execution/home_dispatcher.cc
@@ -0,0 +1,266 @@
+#include "masticpin/execution/home_dispatcher.h"
+
+#include <algorithm>
+#include <cassert>
+#include <optional>
+#include <utility>
+
+#include "masticpin/attempts/grant_policy.h"
+#include "masticpin/attempts/retry_policy.h"
+#include "masticpin/error/answer_table.h"
+
+namespace masticpin {
+
+/// One started entry and its outstanding execution.
+class HomeDispatcher::Pending : public TimerSubscriber {
+ public:
+  Pending(HomeDispatcher& dispatcher, Ref<LedgerEntry> entry)
+      : entry(std::move(entry)), dispatcher(dispatcher) {}
+
+  void OnTimer(TimePoint now) override {
+    // This object is destroyed by the call.
+    this->dispatcher.OnTimeout(this->request.key().sequence(), now);
+  }
+
+  const Ref<LedgerEntry> entry;
+  Priority priority;
+  TimePoint deadline;
+  Duration expected_time{};
+  wire::ExecuteRequest request;
+  InstanceId executor;
+  AttemptGrant grant;
+  std::uint32_t sent = 0;
+  std::uint32_t attempts_used = 0;
+  // Names of the instances that were tried.
+  std::vector<std::string> tried;
+  // Why the last dispatch failed.
+  std::optional<ActionResult> failure;
+
+ private:
+  HomeDispatcher& dispatcher;
+};
+
+HomeDispatcher::HomeDispatcher(const DispatchSettings& settings,
+                               std::uint64_t home_incarnation,
+                               const Clock& clock,
+                               TimerService& timers,
+                               ExecutionSender& sender,
+                               InstanceChooser& chooser,
+                               RetryRatio& ratio,
+                               DispatchObserver& observer)
+    : settings(settings),
+      home_incarnation(home_incarnation),
+      clock(clock),
+      timers(timers),
+      sender(sender),
+      chooser(chooser),
+      ratio(ratio),
+      observer(observer) {}
+
+HomeDispatcher::~HomeDispatcher() = default;
+
+void HomeDispatcher::Dispatch(Ref<LedgerEntry> entry, DispatchOrder order) {
+  assert(entry->Running());
+  auto pending = std::make_unique<Pending>(*this, std::move(entry));
+  pending->priority = order.priority;
+  pending->deadline = order.deadline;
+  pending->expected_time = order.expected_time;
+  wire::ExecuteRequest& request = pending->request;
+  request.set_service(std::move(order.service));
+  request.set_kind(std::move(order.kind));
+  request.set_importance(order.priority.importance);
+  request.set_rank(order.priority.rank);
+  request.set_traceparent(std::move(order.traceparent));
+  request.set_action(std::move(order.action));
+  *request.mutable_request() = std::move(order.request);
+  this->ratio.OnFirstAttempt();
+  this->Send(std::move(pending));
+}
+
+void HomeDispatcher::Send(std::unique_ptr<Pending> pending) {
+  const TimePoint now = this->clock.Now();
+  LedgerEntry& entry = *pending->entry;
+  if (now >= pending->deadline) {
+    this->End(std::move(pending), ActionResult::Failed(ErrorKind::kExpiredBeforeStart));
+    return;
+  }
+
+  // Choose the executor; without a sibling the first failure is the answer.
+  const auto target =
+      this->chooser.Choose(pending->request.service(), pending->tried, pending->priority);
+  if (!target.has_value()) {
+    ActionResult result = pending->failure.value_or(ActionResult::Failed(ErrorKind::kNoInstance));
+    this->End(std::move(pending), std::move(result));
+    return;
+  }
+
+  // Take the grant.
+  AttemptBudget& budget = entry.Budget();
+  pending->grant = budget.Take(GrantPolicy::Decide(budget.Held(), entry.Cost()));
+  if (pending->grant.Count() == 0) {
+    this->End(std::move(pending), ActionResult::Failed(ErrorKind::kAttemptsExhausted));
+    return;
+  }
+
+  // An idempotent request that could be retried waits for half of the time, so that the retry has
+  // the other half.
+  Duration patience = pending->deadline - now;
+  if (entry.Idempotent() && pending->sent < this->settings.max_retries &&
+      budget.Held() >= entry.Cost() && patience / 2 > pending->expected_time) {
+    patience /= 2;
+  }
+
+  // Send it under an execution key of its own.
+  const std::uint64_t sequence = this->next_sequence++;
+  wire::ExecuteRequest& request = pending->request;
+  wire::ExecutionKey& key = *request.mutable_key();
+  key.set_home_incarnation(this->home_incarnation);
+  key.set_sequence(sequence);
+  key.set_executor_incarnation(target->instance.incarnation);
+  key.set_executor_epoch(target->epoch);
+  request.set_attempts(pending->grant.Count());
+  request.set_remaining_us(static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(patience).count()));
+  pending->executor = target->instance;
+  pending->tried.push_back(target->instance.name);
+  ++pending->sent;
+  ++this->counts.sent;
+  this->timers.Schedule(*pending, now + patience);
+  const Pending& outstanding = *pending;
+  this->dispatches.emplace(sequence, std::move(pending));
+  this->sender.SendExecute(outstanding.executor, outstanding.request);
+}
+
+void HomeDispatcher::OnReply(const InstanceId& from, wire::ExecuteReply reply) {
+  // A reply belongs to the execution key that it repeats, and comes from the addressed process.
+  const auto found = this->dispatches.find(reply.key().sequence());
+  if (found == this->dispatches.end() || found->second->executor != from ||
+      reply.key().home_incarnation() != this->home_incarnation ||
+      reply.key().executor_incarnation() != from.incarnation) {
+    ++this->counts.dropped_replies;
+    return;
+  }
+  std::unique_ptr<Pending> pending = this->Remove(reply.key().sequence());
+  AttemptBudget& budget = pending->entry->Budget();
+
+  // Complete.
+  if (reply.error() == 0 && reply.has_response()) {
+    pending->attempts_used += std::min(reply.attempts_used(), pending->grant.Count());
+    budget.Return(pending->grant, reply.attempts_used());
+    this->End(std::move(pending), ActionResult::Complete(Ref<const StoredResponse>(
+                                      new StoredResponse(std::move(*reply.mutable_response())))));
+    return;
+  }
+
+  // Failed. Errors that are not the executor's to decide count as an unknown outcome.
+  ErrorKind error = ErrorKind::kInternal;
+  std::uint32_t used = reply.attempts_used();
+  if (reply.error() > 0 && reply.error() <= static_cast<std::uint32_t>(kLastErrorKind)) {
+    error = static_cast<ErrorKind>(reply.error());
+  }
+  if (error == ErrorKind::kAlreadyComplete) {
+    error = ErrorKind::kInternal;
+  }
+  used = std::min(used, pending->grant.Count());
+  pending->attempts_used += used;
+  budget.Return(pending->grant, used);
+  this->OnFailure(std::move(pending),
+                  ActionResult::Failed(error, std::chrono::milliseconds(reply.retry_after_ms())));
+}
+
+void HomeDispatcher::OnPeerLost(const InstanceId& instance) {
+  std::vector<std::uint64_t> lost;
+  for (const auto& [sequence, pending] : this->dispatches) {
+    if (pending->executor == instance) {
+      lost.push_back(sequence);
+    }
+  }
+  // The order of a hash table must not decide which of them gets the last retry.
+  std::sort(lost.begin(), lost.end());
+  for (const std::uint64_t sequence : lost) {
+    if (std::unique_ptr<Pending> pending = this->Remove(sequence)) {
+      SpendGrant(*pending);
+      this->OnFailure(std::move(pending), ActionResult::Failed(ErrorKind::kPeerLost));
+    }
+  }
+}
+
+void HomeDispatcher::Cancel(LedgerEntry& entry) {
+  const auto found =
+      std::find_if(this->dispatches.begin(), this->dispatches.end(),
+                   [&entry](const auto& item) { return item.second->entry.get() == &entry; });
+  if (found == this->dispatches.end()) {
+    return;
+  }
+  std::unique_ptr<Pending> pending = this->Remove(found->first);
+  this->SendCancel(*pending);
+  SpendGrant(*pending);
+  pending->entry->NoteUnknown(ErrorKind::kCancelled);
+  this->End(std::move(pending), ActionResult::Failed(ErrorKind::kCancelled));
+}
+
+void HomeDispatcher::OnTimeout(std::uint64_t sequence, TimePoint now) {
+  std::unique_ptr<Pending> pending = this->Remove(sequence);
+  if (!pending) {
+    return;
+  }
+  ++this->counts.timeouts;
+  this->SendCancel(*pending);
+  SpendGrant(*pending);
+  const ErrorKind error =
+      now < pending->deadline ? ErrorKind::kPeerLost : ErrorKind::kDeadlineExceeded;
+  this->OnFailure(std::move(pending), ActionResult::Failed(error));
+}
+
+void HomeDispatcher::OnFailure(std::unique_ptr<Pending> pending, const ActionResult& failure) {
+  LedgerEntry& entry = *pending->entry;
+  const ErrorKind error = *failure.error;
+  if (!IsNotRun(error)) {
+    entry.NoteUnknown(error);
+  }
+  const RetryQuestion question{.error = error,
+                               .idempotent = entry.Idempotent(),
+                               .attempts_left = entry.Budget().Held(),
+                               .cost = entry.Cost(),
+                               .time_left = pending->deadline - this->clock.Now(),
+                               .expected_time = pending->expected_time};
+  if (pending->sent > this->settings.max_retries ||
+      RetryPolicy::Decide(question, this->ratio) == RetryDecision::kGiveUp) {
+    this->End(std::move(pending), failure);
+    return;
+  }
+  pending->failure = failure;
+  ++this->counts.retries;
+  this->Send(std::move(pending));
+}
+
+void HomeDispatcher::End(std::unique_ptr<Pending> pending, ActionResult result) {
+  if (result.error.has_value()) {
+    result.error = pending->entry->Truthful(*result.error);
+  }
+  this->observer.OnDispatched(*pending->entry, result, pending->attempts_used);
+}
+
+std::unique_ptr<HomeDispatcher::Pending> HomeDispatcher::Remove(std::uint64_t sequence) {
+  const auto found = this->dispatches.find(sequence);
+  if (found == this->dispatches.end()) {
+    return nullptr;
+  }
+  std::unique_ptr<Pending> pending = std::move(found->second);
+  this->dispatches.erase(found);
+  this->timers.Cancel(*pending);
+  return pending;
+}
+
+void HomeDispatcher::SpendGrant(Pending& pending) {
+  pending.attempts_used += pending.grant.Count();
+  pending.entry->Budget().Return(pending.grant, pending.grant.Count());
+}
+
+void HomeDispatcher::SendCancel(const Pending& pending) {
+  wire::CancelRequest cancel;
+  *cancel.mutable_key() = pending.request.key();
+  this->sender.SendCancel(pending.executor, cancel);
+}
+
+}  // namespace masticpin
--- a/masticpin/execution/home_dispatcher.h
+++ b/masticpin/execution/home_dispatcher.h
@@ -83,6 +83,9 @@
   void OnTimeout(std::uint64_t sequence, TimePoint now);
   void OnFailure(std::unique_ptr<Pending> pending, const ActionResult& failure);
   void End(std::unique_ptr<Pending> pending, ActionResult result);
+  void SendCancel(const Pending& pending);
+  /// Counts the whole grant as used, because nobody reports what was used.
+  static void SpendGrant(Pending& pending);
 
   const DispatchSettings settings;
   const std::uint64_t home_incarnation;
--- /dev/null
+++ b/masticpin/execution/inner_call_table.cc
@@ -0,0 +1,146 @@
+#include "masticpin/execution/inner_call_table.h"
+
+#include <sodium.h>
+
+#include <array>
+#include <cassert>
+#include <utility>
+
+#include "masticpin/error/answer_table.h"
+
+namespace masticpin {
+namespace {
+
+// Inner calls that one execution may name. Refused steps cost no attempt, so that without a bound
+// an upstream in a loop would fill the memory.
+constexpr std::size_t kMaxInnerCalls = 1'024;
+// As for root actions; a larger response still reaches the calls that wait for it.
+constexpr std::size_t kMaxStoredResponse = 64 * 1024;
+
+std::string MakeToken(RandomSource& random) {
+  const std::array<std::uint64_t, 2> bits = {random.Next(), random.Next()};
+  std::array<char, 32> text{};
+  sodium_bin2base64(text.data(), text.size(), reinterpret_cast<const unsigned char*>(bits.data()),
+                    sizeof(bits), sodium_base64_VARIANT_URLSAFE_NO_PADDING);
+  return text.data();
+}
+
+}  // namespace
+
+Ref<ExecutionContext> InnerCallTable::Open(ContextTerms terms) {
+  const Ref<ExecutionContext> context(
+      new ExecutionContext(MakeToken(this->random), std::move(terms)));
+  const bool inserted = this->contexts.emplace(context->Token(), context).second;
+  // 128 random bits do not repeat; a repetition means that the random source is broken.
+  assert(inserted);
+  static_cast<void>(inserted);
+  return context;
+}
+
+Ref<ExecutionContext> InnerCallTable::Find(std::string_view token) const {
+  const auto found = this->contexts.find(token);
+  return found == this->contexts.end() ? nullptr : found->second;
+}
+
+BeginResult InnerCallTable::BeginInner(std::string_view token,
+                                       const InnerCall& call,
+                                       LedgerWaiter& waiter) {
+  const Ref<ExecutionContext> context = this->Find(token);
+  if (!context) {
+    return BeginResult::Refused(ErrorKind::kCancelledBeforeStart);
+  }
+  const ActionTerms terms{
+      .idempotent = call.idempotent, .attempts = 0, .caller_tries = 1, .cost = call.cost};
+
+  // Find what became of an earlier call of the same step.
+  Ref<LedgerEntry> entry;
+  ExecutionContext::InnerKey key(call.service, call.kind, call.step);
+  if (!call.idempotent) {
+    if (const auto found = context->inner.find(key); found != context->inner.end()) {
+      entry = found->second;
+    }
+  }
+  if (entry) {
+    switch (entry->state) {
+      case LedgerEntry::State::kRunning: {
+        entry->waiters.push_back(waiter);
+        BeginResult joined;
+        joined.verdict = BeginVerdict::kJoined;
+        joined.entry = entry;
+        return joined;
+      }
+      case LedgerEntry::State::kComplete: {
+        if (!entry->response) {
+          return BeginResult::Refused(ErrorKind::kAlreadyComplete);
+        }
+        BeginResult replay;
+        replay.verdict = BeginVerdict::kReplay;
+        replay.response = entry->response;
+        return replay;
+      }
+      case LedgerEntry::State::kUnknown:
+        return BeginResult::Refused(*entry->unknown);
+      case LedgerEntry::State::kFresh:
+      case LedgerEntry::State::kExhausted:
+        break;
+    }
+  }
+
+  // Start a new call, or one that was refused before.
+  if (context->Budget().Held() < std::max<std::uint32_t>(call.cost, 1)) {
+    return BeginResult::Refused(ErrorKind::kAttemptsExhausted);
+  }
+  if (!entry) {
+    if (context->inner.size() >= kMaxInnerCalls) {
+      return BeginResult::Refused(ErrorKind::kLedgerFull);
+    }
+    entry.reset(new LedgerEntry(terms, context));
+    if (!call.idempotent) {
+      context->inner.emplace(std::move(key), entry);
+    }
+  }
+  entry->state = LedgerEntry::State::kRunning;
+  entry->waiters.push_back(waiter);
+  BeginResult start;
+  start.verdict = BeginVerdict::kStart;
+  start.entry = std::move(entry);
+  return start;
+}
+
+void InnerCallTable::Finish(LedgerEntry& entry, ActionResult result) {
+  assert(entry.Running());
+  const Ref<LedgerEntry> keep(&entry);
+  if (result.response) {
+    entry.state = LedgerEntry::State::kComplete;
+    if (!entry.idempotent && result.response->Bytes() <= kMaxStoredResponse) {
+      entry.response = result.response;
+    }
+  } else {
+    result.error = entry.Truthful(*result.error);
+    if (IsNotRun(*result.error)) {
+      entry.state = LedgerEntry::State::kFresh;
+    } else {
+      entry.NoteUnknown(*result.error);
+      entry.state = LedgerEntry::State::kUnknown;
+    }
+  }
+  entry.Notify(result);
+}
+
+ContextSummary InnerCallTable::Close(ExecutionContext& context) {
+  const Ref<ExecutionContext> keep(&context);
+  ContextSummary summary;
+  summary.attempts_used = context.budget.Close();
+  for (const auto& [key, entry] : context.inner) {
+    if (entry->state != LedgerEntry::State::kFresh) {
+      summary.inner_may_have_run = true;
+    }
+  }
+  // The entries refer to the context; removing them ends the cycle.
+  context.inner.clear();
+  context.open = false;
+  this->contexts.erase(context.Token());
+  return summary;
+}
+
+}  // namespace masticpin
--- a/masticpin/execution/ledger_entry.h
+++ b/masticpin/execution/ledger_entry.h
@@ -51,10 +51,12 @@
   /// may be reported as "not run".
   void NoteUnknown(ErrorKind kind) { this->unknown = this->unknown.value_or(kind); }
 
+  /// The error to report for `error`: a refusal after an unknown outcome stays unknown.
+  ErrorKind Truthful(ErrorKind error) const;
+
  private:
   friend class ActionLedger;
   friend class InnerCallTable;
-  friend struct LedgerEntrySequence;
 
   enum class State : std::uint8_t {
     // May be started by the next request.
@@ -72,8 +74,6 @@
       boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
   using Waiters = boost::intrusive::list<LedgerWaiter, boost::intrusive::constant_time_size<false>>;
 
-  /// The error to report for `error`: a refusal after an unknown outcome stays unknown.
-  ErrorKind Truthful(ErrorKind error) const;
   /// Calls and removes all waiters.
   void Notify(const ActionResult& result);
   bool CanStartAgain();
