--- a/masticpin/admission/priority.h
+++ b/masticpin/admission/priority.h
@@ -12,7 +12,8 @@
   /// Order within one importance: a hash of the action key, the same at every node.
   std::uint16_t rank = 0;
 
-  auto operator<=>(const Priority&) const = default;
+  // clang-tidy 14 takes the literal 0 of the generated comparison for a null pointer.
+  auto operator<=>(const Priority&) const = default;  // NOLINT(modernize-use-nullptr)
 
   /// Both parts in one number with the same order: importance in the upper 16 bits.
   std::uint32_t Packed() const {
--- a/net/executor.cc
+++ b/net/executor.cc
@@ -151,9 +151,7 @@
         return complete;
       },
       [&](ErrorKind kind) { return ErrorReply(job->request.key(), kind, Duration::zero()); },
-      [&] {
-        return ErrorReply(job->request.key(), ErrorKind::kInternal, Duration::zero());
-      });
+      [&] { return ErrorReply(job->request.key(), ErrorKind::kInternal, Duration::zero()); });
   const NodeCore::Section section(this->core);
   this->EndRun(*job, *context, this->clock.Now() - started, std::move(reply));
 }
@@ -177,8 +175,7 @@
   const auto remaining = duration_cast<milliseconds>(job.deadline - this->clock.Now());
   AddHeader(request, kContextHeader, context.Token());
   AddHeader(request, kActionHeader, job.request.action());
-  AddHeader(request, kDeadlineHeader,
-            std::to_string(std::max<std::int64_t>(remaining.count(), 1)));
+  AddHeader(request, kDeadlineHeader, std::to_string(std::max<std::int64_t>(remaining.count(), 1)));
   if (!job.request.traceparent().empty()) {
     AddHeader(request, kTraceparentHeader, job.request.traceparent());
   }
--- a/net/executor.h
+++ b/net/executor.h
@@ -60,7 +60,9 @@
     std::size_t operator()(const JobId& id) const { return id.home_incarnation ^ id.sequence; }
   };
 
-  static JobId IdOf(const wire::ExecutionKey& key) { return {key.home_incarnation(), key.sequence()}; }
+  static JobId IdOf(const wire::ExecutionKey& key) {
+    return {key.home_incarnation(), key.sequence()};
+  }
 
   void OnAdmitted(ExecutionJob& job);
   void OnRefused(ExecutionJob& job, ErrorKind kind, Duration retry_after);
--- a/net/home.cc
+++ b/net/home.cc
@@ -144,17 +144,15 @@
 CallerResponse Home::HandleInner(NodeCore::Section& section, const CallerRequest& request) {
   // The call belongs to an execution that runs on this node's upstream.
   const Ref<ExecutionContext> context = this->inner_calls.Find(request.context);
-  const KindSpec* kind = this->manifest == nullptr
-                             ? nullptr
-                             : this->manifest->FindKind(request.service, request.kind);
+  const KindSpec* kind =
+      this->manifest == nullptr ? nullptr : this->manifest->FindKind(request.service, request.kind);
   if (context == nullptr) {
     return this->ErrorResponse(ErrorKind::kCancelledBeforeStart);
   }
   if (kind == nullptr) {
     return this->ErrorResponse(ErrorKind::kNotFound);
   }
-  const TimePoint deadline =
-      std::min(context->Terms().deadline, this->DeadlineOf(request, *kind));
+  const TimePoint deadline = std::min(context->Terms().deadline, this->DeadlineOf(request, *kind));
 
   InnerCall call;
   call.service = request.service;
@@ -165,8 +163,7 @@
   CallerWait wait;
   const BeginResult begun = this->inner_calls.BeginInner(request.context, call, wait);
   if (begun.verdict == BeginVerdict::kStart) {
-    DispatchOrder order =
-        this->MakeOrder(*kind, context->Terms().priority, deadline, request.http);
+    DispatchOrder order = this->MakeOrder(*kind, context->Terms().priority, deadline, request.http);
     order.action = context->Terms().action;
     order.traceparent = context->Terms().traceparent;
     this->dispatcher->Dispatch(begun.entry, std::move(order));
@@ -202,8 +199,7 @@
   // A key that was issued here, or by an earlier process of this instance.
   const TimePoint deadline = this->DeadlineOf(request, kind);
   if (request.overflow && kind.importance < kOverflowImportance) {
-    return this->ResponseOf(
-        this->ledger.Close(*key, TermsOf(kind), ErrorKind::kOverloaded));
+    return this->ResponseOf(this->ledger.Close(*key, TermsOf(kind), ErrorKind::kOverloaded));
   }
   CallerWait wait;
   const BeginResult begun = this->ledger.Begin(*key, TermsOf(kind), wait);
@@ -318,10 +314,10 @@
   }
   (void)wait.release();
   const Duration remaining = std::min<Duration>(
-      kind->deadline, microseconds(std::min<std::uint64_t>(
-                          request.remaining_us(),
-                          static_cast<std::uint64_t>(
-                              duration_cast<microseconds>(kind->deadline).count()))));
+      kind->deadline,
+      microseconds(std::min<std::uint64_t>(
+          request.remaining_us(),
+          static_cast<std::uint64_t>(duration_cast<microseconds>(kind->deadline).count()))));
   DispatchOrder order = this->MakeOrder(*kind, {kind->importance, key->Rank()},
                                         this->clock.Now() + remaining, request.request());
   order.action = request.action_key();
@@ -441,8 +437,7 @@
 }
 
 void Home::AddNextKey(CallerResponse& response) {
-  const bool ended = !response.error.has_value() ||
-                     *response.error == ErrorKind::kAlreadyComplete;
+  const bool ended = !response.error.has_value() || *response.error == ErrorKind::kAlreadyComplete;
   if (ended && !this->draining) {
     const ActionKey key = this->mint.Mint();
     response.next_key = key.ToText();
--- a/net/http_front.cc
+++ b/net/http_front.cc
@@ -25,10 +25,10 @@
 /// and those that the node sets on its own request to the upstream.
 bool IsForUpstream(const std::string& name) {
   static constexpr std::array<const char*, 16> kNames = {
-      "Connection",      "Keep-Alive",     "Transfer-Encoding", "Content-Length",
-      "Host",            "REMOTE_ADDR",    "REMOTE_PORT",       "LOCAL_ADDR",
-      "LOCAL_PORT",      "Accept-Encoding", kIdempotencyKeyHeader, kDeadlineHeader,
-      kContextHeader,    kStepHeader,      kActionHeader,       kTraceparentHeader};
+      "Connection",   "Keep-Alive",      "Transfer-Encoding",   "Content-Length",
+      "Host",         "REMOTE_ADDR",     "REMOTE_PORT",         "LOCAL_ADDR",
+      "LOCAL_PORT",   "Accept-Encoding", kIdempotencyKeyHeader, kDeadlineHeader,
+      kContextHeader, kStepHeader,       kActionHeader,         kTraceparentHeader};
   return std::none_of(kNames.begin(), kNames.end(),
                       [&name](const char* other) { return strcasecmp(name.c_str(), other) == 0; });
 }
@@ -41,9 +41,9 @@
   }
   const auto kind_end = path.find('/', service_end + 1);
   request.service = path.substr(1, service_end - 1);
-  request.kind = path.substr(service_end + 1, kind_end == std::string::npos
-                                                  ? std::string::npos
-                                                  : kind_end - service_end - 1);
+  request.kind =
+      path.substr(service_end + 1,
+                  kind_end == std::string::npos ? std::string::npos : kind_end - service_end - 1);
   return !request.service.empty() && !request.kind.empty();
 }
 
--- a/net/instance_router.cc
+++ b/net/instance_router.cc
@@ -17,8 +17,7 @@
   request.priority = priority;
   request.excluded = this->excluded;
   const Ref<const Member> member = this->fleet.Selector().Select(request);
-  if (member == nullptr ||
-      !this->fleet.Thresholds().ShouldSend(member->id.incarnation, priority)) {
+  if (member == nullptr || !this->fleet.Thresholds().ShouldSend(member->id.incarnation, priority)) {
     return std::nullopt;
   }
   return ExecutionTarget{member->id, member->epoch};
--- a/net/node.cc
+++ b/net/node.cc
@@ -59,11 +59,10 @@
       timers(this->core, this->clock),
       platform(this->core, options.platform_address),
       mint({options.name, this->random.Next()}, this->clock, this->random),
-      ledger(LedgerSettings(), this->mint, this->clock, this->timers),
+      ledger(LedgerSettings(), this->mint, this->timers),
       inner_calls(this->random),
       executions(ExecutionTableSettings(),
                  this->mint.Self().incarnation,
-                 this->clock,
                  this->mint.Epochs(),
                  this->timers),
       retry_ratio(this->clock),
@@ -170,7 +169,9 @@
   status["incarnation"] = this->mint.Self().incarnation;
   status["service"] = this->options.service;
   status["zone"] = this->options.zone;
-  status["state"] = this->draining ? "draining" : this->fleet.Gate().Open() ? "serving" : "starting";
+  status["state"] = this->draining              ? "draining"
+                    : this->fleet.Gate().Open() ? "serving"
+                                                : "starting";
 
   // Configuration.
   const Document* document = this->fleet.Documents().Find(this->options.document);
@@ -199,8 +200,7 @@
   actions["running"] = this->ledger.Running();
   actions["stored_bytes"] = this->ledger.StoredBytes();
   actions["executions_remembered"] = this->executions.Size();
-  actions["executions_in_progress"] =
-      this->executor == nullptr ? 0 : this->executor->InProgress();
+  actions["executions_in_progress"] = this->executor == nullptr ? 0 : this->executor->InProgress();
   actions["inner_contexts"] = this->inner_calls.Size();
 
   // Members.
@@ -219,7 +219,8 @@
 
 std::string Node::MetricsText() {
   std::string text;
-  const auto add = [&text](const std::string& name, const std::string& labels, std::uint64_t value) {
+  const auto add = [&text](const std::string& name, const std::string& labels,
+                           std::uint64_t value) {
     text += "masticpin_" + name + labels + " " + std::to_string(value) + "\n";
   };
   const auto add_results = [&add](const std::string& name, const NodeMetrics::ByResult& counts) {
@@ -268,14 +269,14 @@
   if (elapsed < this->options.leave_notice) {
     return false;
   }
-  const std::size_t in_progress = this->home.InProgress() +
-                                  (this->executor == nullptr ? 0 : this->executor->InProgress());
+  const std::size_t in_progress =
+      this->home.InProgress() + (this->executor == nullptr ? 0 : this->executor->InProgress());
   const Duration longest =
       this->manifest == nullptr ? Duration::zero() : this->manifest->LongestDeadline();
   return in_progress == 0 || elapsed > longest + kDrainGrace + this->options.leave_notice;
 }
 
-void Node::SendEnvelope(const InstanceId& to, wire::Envelope envelope) {
+void Node::StampEnvelope(wire::Envelope& envelope) {
   this->fleet.Stamp(this->mint.Epochs().Current(), envelope);
   if (this->admission != nullptr) {
     const LoadReport report = this->admission->GetLoad();
@@ -285,6 +286,10 @@
     load->set_queued(report.queued);
     load->set_threshold(report.threshold);
   }
+}
+
+void Node::SendEnvelope(const InstanceId& to, wire::Envelope envelope) {
+  this->StampEnvelope(envelope);
   if (to == this->mint.Self()) {
     this->core.Defer([this, envelope = std::move(envelope)] { this->Dispatch(envelope); });
     return;
@@ -344,8 +349,8 @@
   *reply.mutable_key() = key;
   const AcceptResult accepted = this->executions.Accept(key);
   const bool refused = accepted.verdict == AcceptVerdict::kRefused;
-  reply.set_error(static_cast<std::uint32_t>(refused ? accepted.error
-                                                     : ErrorKind::kNoConfiguration));
+  reply.set_error(
+      static_cast<std::uint32_t>(refused ? accepted.error : ErrorKind::kNoConfiguration));
   if (accepted.verdict == AcceptVerdict::kNew) {
     this->executions.Finish(key, Ref<const StoredReply>(new StoredReply(reply)));
   }
@@ -373,8 +378,7 @@
   if (found == this->outstanding.end()) {
     return;
   }
-  spdlog::warn("event=send_failed endpoint={} instance={}", endpoint,
-               found->second.executor.name);
+  spdlog::warn("event=send_failed endpoint={} instance={}", endpoint, found->second.executor.name);
   const InstanceId executor_id = found->second.executor;
   this->fleet.Selector().OnFailure(executor_id);
   this->outstanding.erase(found);
@@ -393,6 +397,11 @@
   this->SendEnvelope(to, std::move(envelope));
 }
 
+void Node::SendToEndpoint(const std::string& endpoint, wire::Envelope envelope) {
+  this->StampEnvelope(envelope);
+  this->transport->Send(endpoint, std::move(envelope));
+}
+
 void Node::SendExecute(const InstanceId& executor, const wire::ExecuteRequest& request) {
   this->fleet.Selector().OnSent(executor);
   this->outstanding[request.key().sequence()] = {executor, this->clock.Now()};
@@ -466,9 +475,9 @@
     this->admission =
         std::make_unique<AdmissionController>(settings, this->clock, this->timers, this->random);
     ReplySender& replies = *this;
-    this->executor = std::make_unique<Executor>(
-        this->core, this->clock, this->executions, *this->admission, this->inner_calls,
-        this->upstream, this->workers, replies, this->metrics);
+    this->executor = std::make_unique<Executor>(this->core, this->clock, this->executions,
+                                                *this->admission, this->inner_calls, this->upstream,
+                                                this->workers, replies, this->metrics);
     if (this->draining) {
       this->executor->Drain();
     }
@@ -494,6 +503,14 @@
                document.version, document.source.ToString());
 }
 
+void Node::OnRefused(std::string_view name,
+                     std::uint64_t version,
+                     const DocumentSource& source,
+                     std::string_view reason) {
+  spdlog::error("event=configuration_refused document={} version={} source=\"{}\" reason=\"{}\"",
+                name, version, source.ToString(), reason);
+}
+
 void Node::OnMemberAdded(const Member& member) {
   if (!member.self) {
     spdlog::info("event=member_added name={} incarnation={:016x}", member.id.name,
@@ -503,18 +520,26 @@
 
 void Node::OnMemberChanged(const Member& member, std::uint64_t previous_incarnation) {
   if (previous_incarnation != 0 && previous_incarnation != member.id.incarnation) {
-    const InstanceId gone{member.id.name, previous_incarnation};
-    this->core.Defer([this, gone] { this->dispatcher.OnPeerLost(gone); });
+    this->EndDispatchesTo({member.id.name, previous_incarnation});
   }
 }
 
 void Node::OnMemberRemoved(const Member& member) {
   spdlog::info("event=member_removed name={} incarnation={:016x}", member.id.name,
                member.id.incarnation);
-  this->core.Defer([this, gone = member.id] { this->dispatcher.OnPeerLost(gone); });
+  this->EndDispatchesTo(member.id);
   this->transport->Disconnect(member.peer_endpoint);
 }
 
+void Node::EndDispatchesTo(const InstanceId& gone) {
+  // Deferred, because the member table must not be changed by a call of its observer.
+  this->core.Defer([this, gone] {
+    std::erase_if(this->outstanding,
+                  [&gone](const auto& entry) { return entry.second.executor == gone; });
+    this->dispatcher.OnPeerLost(gone);
+  });
+}
+
 void Node::OnTimer(TimePoint now) {
   // Read the list of instances, unless a read is still in progress.
   if (!this->list_in_progress) {
--- a/net/node.h
+++ b/net/node.h
@@ -69,6 +69,8 @@
   void BeginDrain() override;
 
  private:
+  /// Fills in the common fields.
+  void StampEnvelope(wire::Envelope& envelope);
   /// A message to this node itself is handled at the end of the section.
   void SendEnvelope(const InstanceId& to, wire::Envelope envelope);
   void Dispatch(const wire::Envelope& envelope);
@@ -77,6 +79,8 @@
   void RefuseUnconfigured(const InstanceId& home, const wire::ExecutionKey& key);
   void OnList(const std::optional<std::vector<ListedInstance>>& list);
   bool Drained();
+  /// The process `gone` no longer exists, so no reply will come from it.
+  void EndDispatchesTo(const InstanceId& gone);
 
   // PeerHandler:
   void OnEnvelope(const wire::Envelope& envelope) override;
@@ -85,6 +89,7 @@
 
   // EnvelopeSender:
   void Send(const InstanceId& to, wire::Envelope envelope) override;
+  void SendToEndpoint(const std::string& endpoint, wire::Envelope envelope) override;
 
   // ExecutionSender:
   void SendExecute(const InstanceId& executor, const wire::ExecuteRequest& request) override;
@@ -102,6 +107,10 @@
                        std::uint64_t version,
                        std::string_view bytes) override;
   void OnDocument(const Document& document) override;
+  void OnRefused(std::string_view name,
+                 std::uint64_t version,
+                 const DocumentSource& source,
+                 std::string_view reason) override;
 
   // MemberObserver:
   void OnMemberAdded(const Member& member) override;
--- a/net/upstream_client_test.cc
+++ b/net/upstream_client_test.cc
@@ -29,7 +29,7 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof(address);
-    ::bind(this->listener, reinterpret_cast<sockaddr*>(&address), size);
+    (void)::bind(this->listener, reinterpret_cast<sockaddr*>(&address), size);
     ::listen(this->listener, 16);
     ::getsockname(this->listener, reinterpret_cast<sockaddr*>(&address), &size);
     this->port = ntohs(address.sin_port);
