--- /dev/null
+++ b/ctl/masticpinctl_main.cc
@@ -0,0 +1,45 @@
+#include <gflags/gflags.h>
+
+#include <cstdlib>
+#include <iostream>
+
+#include "ctl/control_program.h"
+
+DEFINE_bool(json, false, "diff and status write JSON");
+DEFINE_int32(timeout_ms, 2000, "bound on the connect, and each read and write, of one request");
+
+DECLARE_bool(help);
+DECLARE_bool(version);
+
+namespace google {
+// Exported by gflags, but not declared in its headers: what gflags calls for a wrong flag.
+extern void (*gflags_exitfunc)(int);
+}  // namespace google
+
+namespace {
+
+bool IsTimeoutAllowed(const char* /*flag*/, gflags::int32 value) {
+  return value >= 1 && value <= 60'000;
+}
+DEFINE_validator(timeout_ms, &IsTimeoutAllowed);
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  using masticpin::ControlProgram;
+  // gflags would exit with status 1, which here means a problem with a file or node.
+  google::gflags_exitfunc = [](int /*status*/) { std::exit(masticpin::kExitUsage); };
+  // The help of gflags lists flags of the library and not the commands, so it is replaced.
+  gflags::ParseCommandLineNonHelpFlags(&argc, &argv, /*remove_flags=*/true);
+  if (FLAGS_help) {
+    std::cout << ControlProgram::Usage();
+    return masticpin::kExitOk;
+  }
+  if (FLAGS_version) {
+    std::cout << "masticpinctl " MASTICPIN_VERSION "\n";
+    return masticpin::kExitOk;
+  }
+  const masticpin::ControlOptions options{FLAGS_json, std::chrono::milliseconds(FLAGS_timeout_ms)};
+  ControlProgram program(options, std::cout, std::cerr);
+  return program.Run({argv + 1, argv + argc});
+}
