Make the latency rounds of the limiter robust against jitter and long service times

Cause: rounds of 50 requests last 2.5 s with 10 slots and a service time of 500 ms, so the limit stood at half and below for seconds after a slow upstream had recovered. With 60 slots and 20 ms a window holds 500 rounds, and their minimum with exponential service times is so low that the mean passes the knee. Change: 2 to 5 round trips and at least 100 ms per round; a congested round lowers the limit once per round trip down to half before it is judged again.

--- a/masticpin/admission/admission_settings.h
+++ b/masticpin/admission/admission_settings.h
@@ -13,9 +13,10 @@
   double knee = 2.0;
   /// Factor of one decrease.
   double decrease = 0.9;
-  /// Latencies in one average. 50 exponentially distributed service times have an average whose
-  /// standard deviation is 14%, far enough from the knee.
-  std::uint32_t round_samples = 50;
+  /// Latencies in one average, while the limit is neither very low nor very high. The average of
+  /// 100 exponentially distributed service times has a standard deviation of 10%, far from the
+  /// knee.
+  std::uint32_t round_samples = 100;
   /// Age at which the reference latency is measured again at half the limit.
   Duration reference_window = std::chrono::seconds(10);
 };
--- a/masticpin/admission/concurrency_limiter.cc
+++ b/masticpin/admission/concurrency_limiter.cc
@@ -10,11 +10,21 @@
 /// Weight of a new service time in the moving average: it follows a change within 16 requests.
 constexpr int kExpectedWeight = 16;
 
+/// Round trips in one average: at most 5, because longer rounds react too late when 10 slots take
+/// 500 ms for each request; at least 2, because after a start the first to complete are the short
+/// ones.
+constexpr std::uint32_t kMostRoundTrips = 5;
+constexpr std::uint32_t kLeastRoundTrips = 2;
+
+/// Shortest time of one average. The minimum of 3,000 short rounds in one window lies so far below
+/// the mean that the mean passes the knee.
+constexpr Duration kLeastRoundTime = std::chrono::milliseconds(100);
+
 /// If the latency stays above this share of its first value while the limit is halved, it does not
 /// come from concurrency. With queueing it would fall to about one half.
 constexpr double kUselessDecrease = 0.75;
 
-/// Up to this multiple of the reference a latency counts as unchanged; round averages vary by 14%.
+/// Up to this multiple of the reference a latency counts as unchanged; round averages vary by 10%.
 constexpr double kUnchanged = 1.2;
 
 }  // namespace
@@ -53,10 +63,15 @@
   if (this->measuring && now < this->measuring_from) {
     return;
   }
+  if (this->round_count == 0) {
+    this->round_start = now;
+  }
   ++this->round_count;
   this->round_sum += service_time;
-  if (this->round_count >= std::max(this->Limit(), this->settings.round_samples)) {
+  if (this->round_count >= this->RoundSize() && now - this->round_start >= kLeastRoundTime) {
     this->EndRound(now);
+  } else if (this->congested && this->limit > this->run_limit / 2) {
+    this->Decrease(now);
   }
 }
 
@@ -76,6 +91,12 @@
   return this->expected;
 }
 
+std::uint32_t ConcurrencyLimiter::RoundSize() const {
+  const std::uint32_t limit_now = this->Limit();
+  return std::max(kLeastRoundTrips * limit_now,
+                  std::min(this->settings.round_samples, kMostRoundTrips * limit_now));
+}
+
 void ConcurrencyLimiter::EndRound(TimePoint now) {
   const Duration average = this->round_sum / this->round_count;
   this->ClearRound();
@@ -87,16 +108,11 @@
     this->SetReference(now, average);
   }
 
-  const bool was_congested = this->congested;
-  this->congested = average > this->settings.knee * this->reference;
-  if (this->congested) {
-    if (!was_congested) {
-      this->run_limit = this->limit;
-      this->run_latency = average;
-    }
+  if (average > this->settings.knee * this->reference) {
     this->OnCongestedRound(now, average);
     return;
   }
+  this->congested = false;
 
   // Renew an old reference: directly if the latency has not changed, otherwise by a measurement,
   // because a reference taken at the knee would let the limit drift upwards.
@@ -114,7 +130,7 @@
 }
 
 void ConcurrencyLimiter::OnCongestedRound(TimePoint now, Duration average) {
-  const bool halved = this->limit <= std::max(this->run_limit / 2, 1.0);
+  const bool halved = this->congested && this->limit <= std::max(this->run_limit / 2, 1.0);
   if (halved && average > kUselessDecrease * this->run_latency) {
     // Fewer requests did not make the upstream faster: it is slow, not congested. A lower limit
     // would only waste slots.
@@ -123,6 +139,11 @@
     this->congested = false;
     return;
   }
+  if (halved || !this->congested) {
+    this->run_limit = this->limit;
+    this->run_latency = average;
+  }
+  this->congested = true;
   this->Decrease(now);
 }
 
--- a/masticpin/admission/concurrency_limiter.h
+++ b/masticpin/admission/concurrency_limiter.h
@@ -37,6 +37,8 @@
   Duration ExpectedServiceTime() const;
 
  private:
+  /// Number of latencies in one round.
+  std::uint32_t RoundSize() const;
   /// Evaluates a full round of latencies.
   void EndRound(TimePoint now);
   /// Handles a round whose average is above the knee.
@@ -54,6 +56,7 @@
   /// Latencies of the current round.
   std::uint32_t round_count = 0;
   Duration round_sum{};
+  TimePoint round_start{};
 
   /// Lowest average of the window; 0 before the first round.
   Duration reference{};
@@ -62,7 +65,7 @@
   /// The last round was above the knee.
   bool congested = false;
   TimePoint last_decrease{};
-  /// Limit and average at the first of the current run of congested rounds.
+  /// Limit and average at the start of the current run of decreases, which ends at half the limit.
   double run_limit = 0;
   Duration run_latency{};
 
--- a/masticpin/testing/overload_simulation.h
+++ b/masticpin/testing/overload_simulation.h
@@ -36,7 +36,10 @@
 struct SimulationSettings {
   std::uint64_t seed = 1;
   std::uint32_t slots = 10;
+  /// Ceiling and fixed limit of the policies; 0: the slots.
+  std::uint32_t ceiling = 0;
   Duration service_time = std::chrono::milliseconds(20);
+  bool exponential = false;
   /// How long a caller waits for one try.
   Duration timeout = std::chrono::milliseconds(500);
   int retries = 10;
@@ -63,11 +66,13 @@
         jitter(settings.seed + 2),
         upstream(this->clock, this->service, settings.slots, settings.service_time),
         arrival_timer([this] { this->OnArrival(); }) {
+    this->upstream.SetExponential(settings.exponential);
+    const std::uint32_t ceiling = settings.ceiling == 0 ? settings.slots : settings.ceiling;
     if (settings.naive) {
-      this->policy = std::make_unique<NaiveAdmission>(settings.slots, settings.naive_capacity);
+      this->policy = std::make_unique<NaiveAdmission>(ceiling, settings.naive_capacity);
     } else {
       AdmissionSettings admission = settings.admission;
-      admission.ceiling = settings.slots;
+      admission.ceiling = ceiling;
       auto controlled =
           std::make_unique<ControlledAdmission>(admission, this->clock, this->clock, this->jitter);
       this->controller = &controlled->Controller();
--- a/masticpin/testing/simulated_upstream.h
+++ b/masticpin/testing/simulated_upstream.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <cmath>
 #include <deque>
 #include <functional>
 
@@ -34,6 +35,9 @@
   /// Service times of jobs that start from now on are multiplied by `factor`.
   void SetSlowdown(int factor) { this->slowdown = factor; }
 
+  /// Makes service times exponentially distributed, as with requests of very different size.
+  void SetExponential(bool on) { this->exponential = on; }
+
   /// Takes a job; its timer runs at its end, when the owner calls End().
   void Begin(Job& job) {
     ++this->present;
@@ -62,7 +66,11 @@
  private:
   void Run(Job& job) {
     const auto range = static_cast<std::uint64_t>(this->mean.count());
-    const Duration time = this->mean / 2 + Duration(this->random.Below(range));
+    Duration time = this->mean / 2 + Duration(this->random.Below(range));
+    if (this->exponential) {
+      const double uniform = (static_cast<double>(this->random.Next() >> 11) + 1) / 0x1p53;
+      time = std::chrono::duration_cast<Duration>(-std::log(uniform) * this->mean);
+    }
     this->clock.Schedule(job.end, this->clock.Now() + time * this->slowdown);
   }
 
@@ -71,6 +79,7 @@
   const std::uint32_t slots;
   const Duration mean;
   int slowdown = 1;
+  bool exponential = false;
   std::uint32_t present = 0;
   std::uint32_t max_present = 0;
   std::deque<Job*> backlog;
