Treat a refusal by a newer incarnation as an unknown outcome

Cause: the network may deliver two copies of one ExecuteRequest. The first reaches the addressed process, which runs it and restarts; the second reaches its successor, which answers wrong_incarnation. Read as "not run", that answer let the home run the action again at a sibling. The dispatcher now ends the dispatch as peer_lost: a non-idempotent action is not sent again, an idempotent one is retried at once instead of at the reply timeout.

--- a/masticpin/execution/execution_table_settings.h
+++ b/masticpin/execution/execution_table_settings.h
@@ -10,7 +10,7 @@
   // Two epochs at 1,000 executions a second, as for the ledger.
   std::size_t capacity = 131'072;
   // Stored replies of all executions. Above it the oldest are dropped; their keys stay closed.
-  std::size_t stored_bytes = 4 * 1024 * 1024;
+  std::size_t stored_bytes = 4'194'304;
   // Expired keys that one timer call frees, and the pause between two calls.
   std::size_t sweep_batch = 1'000;
   std::chrono::milliseconds sweep_pause{2};
--- a/masticpin/execution/home_dispatcher.cc
+++ b/masticpin/execution/home_dispatcher.cc
@@ -132,17 +132,30 @@
 }
 
 void HomeDispatcher::OnReply(const InstanceId& from, wire::ExecuteReply reply) {
-  // A reply belongs to the execution key that it repeats, and comes from the addressed process.
+  // A reply belongs to the execution key that it repeats, and comes from the addressed process or
+  // from its successor, which only refuses.
+  const auto error_number = static_cast<int>(reply.error());
+  const bool wrong_incarnation = error_number == static_cast<int>(ErrorKind::kWrongIncarnation);
   const auto found = this->dispatches.find(reply.key().sequence());
-  if (found == this->dispatches.end() || found->second->executor != from ||
+  if (found == this->dispatches.end() ||
+      (found->second->executor != from &&
+       (!wrong_incarnation || found->second->executor.name != from.name)) ||
       reply.key().home_incarnation() != this->home_incarnation ||
-      reply.key().executor_incarnation() != from.incarnation) {
+      reply.key().executor_incarnation() != found->second->executor.incarnation) {
     ++this->counts.dropped_replies;
     return;
   }
   std::unique_ptr<Pending> pending = this->Remove(reply.key().sequence());
   AttemptBudget& budget = pending->entry->Budget();
 
+  // The addressed process is gone. Its successor cannot know whether an earlier copy of the message
+  // arrived in time and ran, so the outcome is unknown, although the successor refused its copy.
+  if (wrong_incarnation) {
+    SpendGrant(*pending);
+    this->OnFailure(std::move(pending), ActionResult::Failed(ErrorKind::kPeerLost));
+    return;
+  }
+
   // Complete.
   if (reply.error() == 0 && reply.has_response()) {
     pending->attempts_used += std::min(reply.attempts_used(), pending->grant.Count());
@@ -154,14 +167,11 @@
 
   // Failed. Errors that are not the executor's to decide count as an unknown outcome.
   ErrorKind error = ErrorKind::kInternal;
-  std::uint32_t used = reply.attempts_used();
-  if (reply.error() > 0 && reply.error() <= static_cast<std::uint32_t>(kLastErrorKind)) {
-    error = static_cast<ErrorKind>(reply.error());
-  }
-  if (error == ErrorKind::kAlreadyComplete) {
-    error = ErrorKind::kInternal;
+  if (error_number > 0 && error_number <= kLastErrorKind &&
+      error_number != static_cast<int>(ErrorKind::kAlreadyComplete)) {
+    error = static_cast<ErrorKind>(error_number);
   }
-  used = std::min(used, pending->grant.Count());
+  const std::uint32_t used = std::min(reply.attempts_used(), pending->grant.Count());
   pending->attempts_used += used;
   budget.Return(pending->grant, used);
   this->OnFailure(std::move(pending),
--- a/masticpin/execution/inner_call_table.cc
+++ b/masticpin/execution/inner_call_table.cc
@@ -15,7 +15,7 @@
 // an upstream in a loop would fill the memory.
 constexpr std::size_t kMaxInnerCalls = 1'024;
 // As for root actions; a larger response still reaches the calls that wait for it.
-constexpr std::size_t kMaxStoredResponse = 64 * 1024;
+constexpr std::size_t kMaxStoredResponse = 65'536;
 
 std::string MakeToken(RandomSource& random) {
   const std::array<std::uint64_t, 2> bits = {random.Next(), random.Next()};
--- a/masticpin/execution/ledger_settings.h
+++ b/masticpin/execution/ledger_settings.h
@@ -11,9 +11,9 @@
   // ten times the average at the target size (1.3 million calls/s over 15,000 nodes).
   std::size_t capacity = 131'072;
   // A larger response is not stored; a retry is answered already_complete.
-  std::size_t max_stored_response = 64 * 1024;
+  std::size_t max_stored_response = 65'536;
   // Stored responses of all entries. Above it the oldest are dropped, their entries stay complete.
-  std::size_t stored_bytes = 16 * 1024 * 1024;
+  std::size_t stored_bytes = 16'777'216;
   // Expired entries that one timer call frees: about 0.1 ms of work.
   std::size_t sweep_batch = 1'000;
   // Pause between two such calls, in which the owner serves requests.
