--- a/masticpin/configuration/document_transfer.cc
+++ b/masticpin/configuration/document_transfer.cc
@@ -24,7 +24,11 @@
     return;
   }
   auto found = this->fetches.find(document.name());
-  if (found != this->fetches.end() && found->second.version >= document.version()) {
+  // A version that nobody delivers gives way to a lower one: its only holder may be gone.
+  const bool stalled =
+      found != this->fetches.end() && found->second.timeouts >= this->settings.stall_timeouts;
+  if (found != this->fetches.end() && found->second.version >= document.version() &&
+      !(stalled && found->second.version > document.version())) {
     FetchState& fetch = found->second;
     const bool same_content =
         document.digest() == 0 || fetch.digest == 0 || document.digest() == fetch.digest;
@@ -123,6 +127,7 @@
   fetch.digest = piece.document().digest();
   fetch.total_size = piece.total_size();
   fetch.bytes += piece.data();
+  fetch.timeouts = 0;
   return true;
 }
 
--- a/masticpin/configuration/document_transfer.h
+++ b/masticpin/configuration/document_transfer.h
@@ -22,7 +22,10 @@
   Duration piece_timeout = std::chrono::milliseconds(200);
   /// Sources remembered for one document.
   std::size_t max_sources = 4;
-  /// Timeouts after which the fetch ends; the next digest of a peer starts it again.
+  /// Timeouts without progress after which a lower version, of another peer, is fetched instead.
+  int stall_timeouts = 2;
+  /// Timeouts without progress after which the fetch ends; the next digest of a peer starts it
+  /// again.
   int max_timeouts = 12;
 };
 
--- a/masticpin/configuration/startup_gate.cc
+++ b/masticpin/configuration/startup_gate.cc
@@ -5,6 +5,12 @@
 
 namespace masticpin {
 
+namespace {
+
+constexpr Duration kStep = std::chrono::milliseconds(10);
+
+}  // namespace
+
 StartupGate::StartupGate(std::string document,
                          DocumentStore& store,
                          VersionGossip& gossip,
@@ -43,6 +49,7 @@
 }
 
 void StartupGate::OnTimer(TimePoint now) {
+  this->AddWaitingTime(now);
   this->TryOpen(now);
   if (this->open) {
     return;
@@ -55,11 +62,17 @@
   if (now >= this->service_due && this->service_call == 0) {
     this->AskService();
   }
-  // The gate is looked at in short steps, because a document may come in force by a transfer.
-  constexpr Duration kStep = std::chrono::milliseconds(10);
+  // The gate is looked at in short steps, because a document may come into force by a transfer.
   this->timers.Schedule(*this, now + kStep);
 }
 
+void StartupGate::AddWaitingTime(TimePoint now) {
+  if (this->any_answer) {
+    this->waited += std::min<Duration>(now - this->last_tick, 2 * kStep);
+  }
+  this->last_tick = now;
+}
+
 void StartupGate::AskPeers() {
   // Peers that stay silent are given up after some repetitions in favour of others.
   if (this->answered.empty() && this->repeat >= this->settings.longest_repeat) {
@@ -123,11 +136,11 @@
 }
 
 bool StartupGate::SourcesSettled(TimePoint now) const {
-  const TimePoint settled_at = this->first_answer + this->settings.settle;
-  if (now >= settled_at) {
+  if (this->waited >= this->settings.settle) {
     return true;
   }
   const bool peers_done = this->answered.size() == this->asked.size();
+  const TimePoint settled_at = now + this->settings.settle - this->waited;
   return peers_done && (this->service_answered || this->service_due > settled_at);
 }
 
@@ -137,12 +150,10 @@
   if (this->open || !this->started || !source_answered) {
     return;
   }
-  if (this->first_answer == TimePoint{}) {
-    this->first_answer = now;
-  }
+  this->any_answer = true;
   // A version that a peer announced is waited for longer than for further answers.
   const bool complete = held >= this->highest && this->SourcesSettled(now);
-  const bool given_up = now >= this->first_answer + this->settings.fetch_wait;
+  const bool given_up = this->waited >= this->settings.fetch_wait;
   if (held != 0 && (complete || given_up)) {
     this->open = true;
     this->source = this->store.Find(this->document)->source.ToString();
--- a/masticpin/configuration/startup_gate.h
+++ b/masticpin/configuration/startup_gate.h
@@ -73,6 +73,7 @@
   void OnServiceAnswer(ServiceAnswer answer);
   Duration ServiceSpread(Duration backoff) const;
   bool SourcesSettled(TimePoint now) const;
+  void AddWaitingTime(TimePoint now);
   void TryOpen(TimePoint now);
 
   const std::string document;
@@ -90,8 +91,11 @@
   std::set<std::string> asked;
   std::set<std::string> answered;
   std::uint64_t highest = 0;
-  // When the first source with a document answered; the epoch of the clock before.
-  TimePoint first_answer{};
+  // Whether a source with a document has answered, and for how long the process has been running
+  // since. A pause does not count: answers may have been lost during it.
+  bool any_answer = false;
+  Duration waited{};
+  TimePoint last_tick{};
   bool service_answered = false;
   std::uint64_t service_call = 0;
   TimePoint service_due{};
--- a/masticpin/testing/fake_clock.h
+++ b/masticpin/testing/fake_clock.h
@@ -22,6 +22,10 @@
     this->now = end;
   }
 
+  /// Moves the time forward without running timers, as when a resumed process handles a message
+  /// before its timers.
+  void Jump(Duration by) { this->now += by; }
+
   /// Moves the time forward as a paused process sees it: timers run late, all at the end.
   void Pause(Duration by) {
     this->now += by;
