--- a/masticpin/fleet/fleet_state_test.cc
+++ b/masticpin/fleet/fleet_state_test.cc
@@ -278,5 +278,350 @@
   EXPECT_GT(naive_reverts, 0U);
 }
 
+bool AllRunningHold(FakeFleet& fleet, std::uint64_t version) {
+  for (std::size_t i = 0; i < fleet.nodes.size(); ++i) {
+    if (fleet.Runs(i) && fleet.VersionOf(i) < version) {
+      return false;
+    }
+  }
+  return true;
+}
+
+// A fleet of 13 nodes in 3 zones that has settled with version 1.
+std::unique_ptr<FakeFleet> MakeSettledFleet(std::uint64_t seed, std::uint64_t drop_percent = 2) {
+  FakeFleet::Options options;
+  options.seed = seed;
+  options.drop_percent = drop_percent;
+  auto fleet = std::make_unique<FakeFleet>(options);
+  fleet->service.published = 1;
+  fleet->StartAll();
+  fleet->Run(seconds(12));
+  EXPECT_TRUE(AllRunningHold(*fleet, 1));
+  return fleet;
+}
+
+std::vector<std::size_t> ReadersOf(FakeFleet& fleet) {
+  std::vector<std::size_t> readers;
+  for (std::size_t i = 0; i < fleet.nodes.size(); ++i) {
+    if (fleet.Runs(i) && fleet.State(i).Readers().Role() == ReaderRole::kReader) {
+      readers.push_back(i);
+    }
+  }
+  return readers;
+}
+
+constexpr std::uint64_t kSpreadSeeds = 25;
+constexpr Duration kSpreadBound = seconds(2);
+
+void ExpectSpread(const char* label, Duration longest) {
+  std::cout << label << " seeds=" << kSpreadSeeds << " longest_ms=" << longest / milliseconds(1)
+            << "\n";
+  EXPECT_LE(longest, kSpreadBound);
+}
+
+// Guards against a published version that reaches some nodes late (R8).
+TEST(FleetStateTest, NewVersionIsInForceWithinTwoSeconds) {
+  Duration longest{};
+  for (std::uint64_t seed = 1; seed <= kSpreadSeeds; ++seed) {
+    const auto fleet = MakeSettledFleet(seed);
+    EXPECT_EQ(ReadersOf(*fleet).size(), 9U);
+    fleet->service.published = 2;
+    longest =
+        std::max(longest, fleet->RunUntil(seconds(5), [&] { return AllRunningHold(*fleet, 2); }));
+  }
+  ExpectSpread("spread plain", longest);
+}
+
+// Guards against a spread that depends on one reader.
+TEST(FleetStateTest, DeadReaderDoesNotDelayAVersion) {
+  Duration longest{};
+  for (std::uint64_t seed = 1; seed <= kSpreadSeeds; ++seed) {
+    const auto fleet = MakeSettledFleet(seed);
+    fleet->Kill(ReadersOf(*fleet).front());
+    fleet->service.published = 2;
+    longest =
+        std::max(longest, fleet->RunUntil(seconds(5), [&] { return AllRunningHold(*fleet, 2); }));
+  }
+  ExpectSpread("spread dead_reader", longest);
+}
+
+// Guards against paused nodes that go on with their old version after they resume.
+TEST(FleetStateTest, PausedThirdCatchesUpWithinTwoSecondsOfResuming) {
+  Duration longest{};
+  for (std::uint64_t seed = 1; seed <= kSpreadSeeds; ++seed) {
+    const auto fleet = MakeSettledFleet(seed);
+    for (std::size_t i = 0; i < fleet->nodes.size(); i += 3) {
+      fleet->Pause(i);
+    }
+    fleet->service.published = 2;
+    fleet->Run(seconds(5));
+    EXPECT_TRUE(AllRunningHold(*fleet, 2));
+    for (std::size_t i = 0; i < fleet->nodes.size(); i += 3) {
+      fleet->Wake(i, static_cast<FakeFleet::OnWake>(seed % 3));
+    }
+    longest =
+        std::max(longest, fleet->RunUntil(seconds(5), [&] { return AllRunningHold(*fleet, 2); }));
+  }
+  ExpectSpread("spread paused_third", longest);
+}
+
+// Guards against a version that only reaches nodes through the service.
+TEST(FleetStateTest, VersionSpreadsFromOneReaderWhileTheServiceIsDown) {
+  Duration longest{};
+  for (std::uint64_t seed = 1; seed <= kSpreadSeeds; ++seed) {
+    const auto fleet = MakeSettledFleet(seed);
+    const std::size_t first = ReadersOf(*fleet)[seed % 9];
+    fleet->service.published = 2;
+    fleet->service.visible = [first](std::size_t node) {
+      return node == first ? std::uint64_t{2} : std::uint64_t{1};
+    };
+    fleet->RunUntil(seconds(5), [&] { return fleet->VersionOf(first) == 2; });
+    fleet->service.down = true;
+    longest =
+        std::max(longest, fleet->RunUntil(seconds(5), [&] { return AllRunningHold(*fleet, 2); }));
+  }
+  ExpectSpread("spread service_down", longest);
+}
+
+// Guards against a lower version that wins when the two sides of a partition meet again.
+TEST(FleetStateTest, VersionsConvergeUpwardsAfterAPartition) {
+  Duration longest{};
+  for (std::uint64_t seed = 1; seed <= kSpreadSeeds; ++seed) {
+    const auto fleet = MakeSettledFleet(seed);
+    // Zone z0 is cut off and sees an older replica of the service.
+    for (std::size_t i = 0; i < fleet->nodes.size(); i += 3) {
+      fleet->cut[i] = 1;
+    }
+    fleet->service.published = 5;
+    fleet->service.visible = [](std::size_t node) {
+      return node % 3 == 0 ? std::uint64_t{2} : std::uint64_t{5};
+    };
+    fleet->Run(seconds(15));
+    EXPECT_EQ(fleet->VersionOf(0), 2U);
+    EXPECT_EQ(fleet->VersionOf(1), 5U);
+    fleet->service.down = true;
+    fleet->cut.assign(fleet->nodes.size(), 0);
+    longest =
+        std::max(longest, fleet->RunUntil(seconds(5), [&] { return AllRunningHold(*fleet, 5); }));
+    fleet->service.down = false;
+    fleet->Run(seconds(5));
+    EXPECT_TRUE(AllRunningHold(*fleet, 5));
+  }
+  ExpectSpread("spread healed", longest);
+}
+
+// The one exception of R8: with all nodes lost at once and a stale service, the last version is
+// nowhere. Guards against a node that refuses to start then, or hides where its value came from.
+TEST(FleetStateTest, LossOfAllNodesWithAStaleServiceTakesItsValue) {
+  const auto fleet = MakeSettledFleet(1);
+  fleet->service.published = 7;
+  fleet->Run(seconds(3));
+  EXPECT_TRUE(AllRunningHold(*fleet, 7));
+  for (std::size_t i = 0; i < fleet->nodes.size(); ++i) {
+    fleet->Kill(i);
+  }
+  fleet->service.visible = [](std::size_t) { return std::uint64_t{4}; };
+  fleet->StartAll();
+  fleet->Run(seconds(5));
+  EXPECT_EQ(fleet->VersionOf(0), 4U);
+  std::size_t from_service = 0;
+  for (std::size_t i = 0; i < fleet->nodes.size(); ++i) {
+    from_service += fleet->State(i).Gate().Source() == "service" ? 1 : 0;
+  }
+  EXPECT_GT(from_service, 0U);
+  // The lost version comes back when the service shows it.
+  fleet->service.visible = nullptr;
+  fleet->Run(seconds(8));
+  EXPECT_TRUE(AllRunningHold(*fleet, 7));
+}
+
+// With one node left, the version survives a stale service.
+TEST(FleetStateTest, OneRemainingNodeKeepsTheVersion) {
+  const auto fleet = MakeSettledFleet(2);
+  fleet->service.published = 7;
+  fleet->Run(seconds(3));
+  for (std::size_t i = 1; i < fleet->nodes.size(); ++i) {
+    fleet->Kill(i);
+  }
+  fleet->service.visible = [](std::size_t) { return std::uint64_t{4}; };
+  for (std::size_t i = 1; i < fleet->nodes.size(); ++i) {
+    fleet->Start(i);
+  }
+  fleet->Run(seconds(5));
+  for (std::size_t i = 0; i < fleet->nodes.size(); ++i) {
+    EXPECT_EQ(fleet->VersionOf(i), 7U) << i;
+  }
+}
+
+// Guards against a node that serves before any source has answered.
+TEST(FleetStateTest, NodeWithoutASourceDoesNotServe) {
+  FakeFleet::Options options;
+  FakeFleet fleet(options);
+  fleet.service.published = 3;
+  fleet.service.down = true;
+  fleet.StartAll();
+  fleet.Run(seconds(20));
+  for (std::size_t i = 0; i < fleet.nodes.size(); ++i) {
+    EXPECT_FALSE(fleet.State(i).Ready());
+  }
+  fleet.service.down = false;
+  fleet.Run(seconds(10));
+  for (std::size_t i = 0; i < fleet.nodes.size(); ++i) {
+    EXPECT_TRUE(fleet.State(i).Ready());
+    EXPECT_FALSE(fleet.State(i).Gate().Source().empty());
+  }
+}
+
+// Guards against a call rate at the configuration service that grows when readers fail. 13 nodes;
+// the rate at 15,000 nodes is tested in configuration_reader_test.cc.
+TEST(FleetStateTest, FewCallsAtTheServiceWhileReadersFail) {
+  const auto fleet = MakeSettledFleet(3);
+  const Duration from = fleet->now;
+  fleet->service.reachable = [&fleet](std::size_t node) { return fleet->cut[node] == 0; };
+  const auto run_with_changes = [&](int changes) {
+    // 0.88 changes/s.
+    for (int i = 0; i < changes; ++i) {
+      ++fleet->service.published;
+      fleet->Run(milliseconds(1136));
+    }
+  };
+  run_with_changes(20);
+  // All readers of one zone die.
+  for (const std::size_t reader : ReadersOf(*fleet)) {
+    if (reader % 3 == 0) {
+      fleet->Kill(reader);
+    }
+  }
+  run_with_changes(20);
+  EXPECT_TRUE(AllRunningHold(*fleet, fleet->service.published - 1));
+  // Another zone is cut off from the service and the other nodes.
+  for (std::size_t i = 1; i < fleet->nodes.size(); i += 3) {
+    fleet->cut[i] = 1;
+  }
+  run_with_changes(20);
+  // The service is down, then stale, then well again.
+  fleet->service.down = true;
+  fleet->Run(seconds(20));
+  fleet->service.down = false;
+  fleet->service.visible = [](std::size_t) { return std::uint64_t{1}; };
+  fleet->Run(seconds(20));
+  fleet->service.visible = nullptr;
+  fleet->cut.assign(fleet->nodes.size(), 0);
+  run_with_changes(5);
+  EXPECT_TRUE(AllRunningHold(*fleet, fleet->service.published - 1));
+  const double mean = static_cast<double>(fleet->service.TotalCalls(from)) /
+                      std::chrono::duration<double>(fleet->now - from).count();
+  std::cout << "calls nodes=13 busiest_second=" << fleet->service.BusiestSecond(from)
+            << " mean_per_second=" << mean << "\n";
+  EXPECT_LT(fleet->service.BusiestSecond(from), 50U);
+}
+
+// Each node sends one request to service s0 in each step, as its selector says; counts those for
+// node 0 (of service s0) later than `bound` after it began to leave.
+class LeaveCounter {
+ public:
+  explicit LeaveCounter(FakeFleet& fleet) : fleet(fleet) {}
+
+  void Run(Duration duration) {
+    const Duration end = this->fleet.now + duration;
+    while (this->fleet.now < end) {
+      this->fleet.Step();
+      for (std::size_t i = 1; i < this->fleet.nodes.size(); ++i) {
+        if (this->fleet.Runs(i) && this->fleet.State(i).Ready()) {
+          this->Request(i);
+        }
+      }
+      // The platform's list is stale: it never hears that node 0 left.
+      if (this->fleet.now % seconds(1) == Duration::zero()) {
+        for (std::size_t i = 1; i < this->fleet.nodes.size(); ++i) {
+          if (this->fleet.Runs(i)) {
+            this->fleet.State(i).Members().ApplyList(this->fleet.list);
+          }
+        }
+      }
+    }
+  }
+
+  FakeFleet& fleet;
+  Duration left_at = Duration::max();
+  std::size_t requests = 0;
+  std::size_t to_leaving = 0;
+  std::size_t too_late = 0;
+  // Requests to the leaving node of a caller that trusts the list and chooses at random.
+  std::size_t naive_too_late = 0;
+
+ private:
+  static constexpr Duration kBound = seconds(3);
+
+  void Request(std::size_t i) {
+    SelectionRequest request;
+    request.service = "s0";
+    const Ref<const Member> member = this->fleet.State(i).Selector().Select(request);
+    const bool late = this->left_at != Duration::max() && this->fleet.now - this->left_at > kBound;
+    this->naive_too_late += late && this->fleet.random.Below(4) == 0 ? 1 : 0;
+    if (member == nullptr) {
+      return;
+    }
+    ++this->requests;
+    if (member->id.name == "n0" && this->fleet.now >= this->left_at) {
+      ++this->to_leaving;
+      this->too_late += late ? 1 : 0;
+    }
+  }
+};
+
+// Guards against new requests to a server that is leaving (R6), also from nodes that were paused
+// while it left, and against its revival by a stale list.
+TEST(FleetStateTest, LeavingInstanceGetsNoNewRequestsAfterThreeSeconds) {
+  std::size_t requests = 0;
+  std::size_t to_leaving = 0;
+  std::size_t too_late = 0;
+  std::size_t naive_too_late = 0;
+  for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+    // Every tenth message is lost, leave notices included.
+    const auto fleet = MakeSettledFleet(seed, 10);
+    LeaveCounter counter(*fleet);
+    counter.Run(seconds(1));
+    fleet->Pause(1);
+    fleet->Pause(5);
+    fleet->Run(milliseconds(1000 * (seed % 3)));
+    fleet->State(0).Leave();
+    counter.left_at = fleet->now;
+    counter.Run(seconds(5));
+    fleet->Wake(1, static_cast<FakeFleet::OnWake>(seed % 3));
+    counter.Run(seconds(2));
+    // The process ends; its name stays in the stale list.
+    fleet->Kill(0);
+    counter.Run(seconds(2));
+    fleet->Wake(5, static_cast<FakeFleet::OnWake>((seed + 1) % 3));
+    counter.Run(seconds(6));
+    requests += counter.requests;
+    to_leaving += counter.to_leaving;
+    too_late += counter.too_late;
+    naive_too_late += counter.naive_too_late;
+  }
+  std::cout << "leaving requests=" << requests << " to_leaving=" << to_leaving
+            << " too_late=" << too_late << " naive_too_late=" << naive_too_late << "\n";
+  EXPECT_EQ(too_late, 0U);
+  EXPECT_GT(naive_too_late, 0U);
+}
+
+// Guards against a tombstone that keeps the successor of a leaving instance out.
+TEST(FleetStateTest, SuccessorOfALeavingInstanceGetsRequests) {
+  const auto fleet = MakeSettledFleet(4);
+  fleet->State(0).Leave();
+  fleet->Run(seconds(2));
+  fleet->Kill(0);
+  fleet->Run(seconds(1));
+  fleet->Start(0);
+  fleet->Run(seconds(3));
+  for (std::size_t i = 1; i < fleet->nodes.size(); ++i) {
+    const Ref<const Member> member = fleet->State(i).Members().Find("n0");
+    ASSERT_NE(member, nullptr) << i;
+    EXPECT_EQ(member->state, MemberState::kLive) << i;
+    EXPECT_EQ(member->id.incarnation, fleet->State(0).Members().Self().id.incarnation) << i;
+  }
+}
+
 }  // namespace
 }  // namespace masticpin
