Test membership, routing, documents, transfer and readers

Faults found by the tests, with the fix: - ColdInstanceRampsUp: a new instance got no request for 4 s (shares 0 0 0 0 0.19), because its unknown load counted as the mean divided by its share, ten times the mean.

--- a/masticpin/configuration/configuration_reader.cc
+++ b/masticpin/configuration/configuration_reader.cc
@@ -92,9 +92,13 @@
     this->backoff = Duration::zero();
     this->next_call = now + this->settings.shortest_gap;
   } else {
-    this->backoff = std::min(std::max(this->backoff * 2, first), longest);
+    const Duration before = this->backoff;
+    this->backoff = std::min(std::max(before * 2, first), longest);
     if (verdict == Verdict::kThrottled) {
-      this->backoff = longest;
+      // Too many nodes take themselves for readers, for example because the platform's list is
+      // missing; only a long back-off brings their calls below the rate.
+      this->backoff =
+          std::min(std::max(before * 2, longest), this->readers.GetSettings().longest_backoff);
     }
     this->next_call =
         now + this->Jitter(fallback ? this->readers.Spread(this->backoff) : this->backoff);
--- /dev/null
+++ b/masticpin/configuration/configuration_reader_test.cc
@@ -0,0 +1,224 @@
+#include "masticpin/configuration/configuration_reader.h"
+
+#include <gtest/gtest.h>
+
+#include <iostream>
+#include <memory>
+
+#include "masticpin/testing/fake_clock.h"
+#include "masticpin/testing/fake_configuration_service.h"
+#include "masticpin/testing/seeded_random.h"
+
+namespace masticpin {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class AcceptAll : public DocumentValidator {
+ public:
+  std::string Validate(std::string_view, std::uint64_t, std::string_view) override { return {}; }
+};
+
+// A reader with its own member table of itself and `others` members of its zone that come before it
+// in the order of readers.
+struct Reader {
+  Reader(FakeConfigurationService& service,
+         FakeClock& clock,
+         std::size_t number,
+         int others,
+         ReaderSelectionSettings settings)
+      : random(number + 1),
+        members(clock, MakeSelf(number)),
+        store(clock, this->validator),
+        readers(this->members, clock, settings),
+        client(service, number),
+        reader("manifest", this->store, this->readers, this->client, clock, clock, this->random) {
+    // Names are tried until enough of them come first.
+    for (int i = 0; others > 0 && this->readers.Role() == ReaderRole::kReader; ++i) {
+      wire::Member member;
+      member.set_name("other" + std::to_string(i));
+      member.set_incarnation(static_cast<std::uint64_t>(i) + 100);
+      member.set_zone("z");
+      this->members.ApplySender(member, 1);
+    }
+    this->reader.Start();
+  }
+
+  static Member MakeSelf(std::size_t number) {
+    Member self;
+    self.id = InstanceId{"n" + std::to_string(number), 1};
+    self.zone = "z";
+    return self;
+  }
+
+  AcceptAll validator;
+  SeededRandom random;
+  MemberTable members;
+  DocumentStore store;
+  ReaderSelection readers;
+  FakeServiceClient client;
+  ConfigurationReader reader;
+};
+
+class ConfigurationReaderTest : public testing::Test {
+ protected:
+  void Add(std::size_t count, int others, ReaderSelectionSettings settings = {}) {
+    for (std::size_t i = 0; i < count; ++i) {
+      this->nodes.push_back(std::make_unique<Reader>(this->service, this->clock, this->nodes.size(),
+                                                     others, settings));
+    }
+  }
+
+  void Run(Duration length, Duration step = milliseconds(10)) {
+    for (Duration t{}; t < length; t += step) {
+      this->now += step;
+      this->service.SetNow(this->now);
+      for (const auto& node : this->nodes) {
+        node->client.Poll();
+      }
+      this->clock.Advance(step);
+    }
+  }
+
+  FakeConfigurationService service;
+  FakeClock clock;
+  Duration now{};
+  std::vector<std::unique_ptr<Reader>> nodes;
+};
+
+// Guards against a watch that is renewed more often than it ends, and against a missed version.
+TEST_F(ConfigurationReaderTest, WatchCostsOneCallForEachRenewalOrVersion) {
+  this->service.published = 1;
+  this->Add(1, 0);
+  this->Run(seconds(1));
+  EXPECT_EQ(this->nodes[0]->store.VersionOf("manifest"), 1U);
+  const std::uint64_t before = this->nodes[0]->reader.Calls();
+  this->Run(seconds(300));
+  EXPECT_LE(this->nodes[0]->reader.Calls() - before, 10U);
+  this->service.published = 2;
+  this->Run(milliseconds(50));
+  EXPECT_EQ(this->nodes[0]->store.VersionOf("manifest"), 2U);
+}
+
+// Guards against a loop of calls: a watch on a stale service returns at once.
+TEST_F(ConfigurationReaderTest, StaleServiceIsNotCalledInALoop) {
+  this->service.published = 5;
+  this->Add(1, 0);
+  this->Run(seconds(1));
+  this->service.visible = [](std::size_t) { return std::uint64_t{3}; };
+  const std::uint64_t before = this->nodes[0]->reader.Calls();
+  this->Run(seconds(60));
+  EXPECT_LE(this->nodes[0]->reader.Calls() - before, 32U);
+  EXPECT_GE(this->nodes[0]->reader.Calls() - before, 10U);
+  EXPECT_EQ(this->nodes[0]->store.VersionOf("manifest"), 5U);
+  EXPECT_GT(this->nodes[0]->reader.StaleAnswers(), 0U);
+  this->service.published = 6;
+  this->service.visible = nullptr;
+  this->Run(seconds(7));
+  EXPECT_EQ(this->nodes[0]->store.VersionOf("manifest"), 6U);
+}
+
+// Guards against a reader that never reads again after the service was down or cut off.
+TEST_F(ConfigurationReaderTest, ReadsAgainAfterAnOutage) {
+  this->service.published = 1;
+  this->Add(1, 0);
+  this->Run(seconds(1));
+  this->service.down = true;
+  const std::uint64_t before = this->nodes[0]->reader.Calls();
+  this->Run(seconds(60));
+  EXPECT_LE(this->nodes[0]->reader.Calls() - before, 32U);
+  this->service.down = false;
+  this->service.reachable = [](std::size_t) { return false; };
+  this->Run(seconds(60));
+  this->service.reachable = nullptr;
+  this->service.published = 2;
+  this->Run(seconds(8));
+  EXPECT_EQ(this->nodes[0]->store.VersionOf("manifest"), 2U);
+}
+
+// Guards against nodes that read although readers confirm the versions, and against nodes that do
+// not read when the readers are silent.
+TEST_F(ConfigurationReaderTest, OtherNodesReadOnlyWithoutConfirmation) {
+  this->service.published = 1;
+  this->Add(1, 3);
+  EXPECT_EQ(this->nodes[0]->readers.Role(), ReaderRole::kNone);
+  for (int i = 0; i < 30; ++i) {
+    this->nodes[0]->readers.Confirm(Duration::zero());
+    this->Run(seconds(1));
+  }
+  EXPECT_EQ(this->nodes[0]->reader.Calls(), 0U);
+  this->Run(seconds(13));
+  EXPECT_EQ(this->nodes[0]->store.VersionOf("manifest"), 1U);
+}
+
+// Guards against a burst of calls when the whole target fleet misses its readers at once: 15,000
+// nodes that all fall back, with the service down, then stale. Each table holds one member, so the
+// fleet rate is scaled to give the spread of a table of 15,000 (60 s). No node is a reader.
+TEST_F(ConfigurationReaderTest, FallbackOfFifteenThousandNodesStaysBelowTheCallRate) {
+  constexpr std::size_t kNodes = 15000;
+  constexpr Duration kStep = milliseconds(250);
+  this->service.published = 5;
+  this->service.down = true;
+  ReaderSelectionSettings settings;
+  settings.readers_per_zone = 0;
+  settings.fleet_rate /= static_cast<double>(kNodes);
+  this->Add(kNodes, 0, settings);
+  this->Run(seconds(130), kStep);
+  const std::uint64_t down = this->service.BusiestSecond();
+  const Duration stale_from = this->now;
+  this->service.down = false;
+  for (const auto& node : this->nodes) {
+    node->store.Offer("manifest", 5, FakeConfigurationService::BytesOf(5), DocumentSource{});
+  }
+  this->service.visible = [](std::size_t) { return std::uint64_t{4}; };
+  this->Run(seconds(60), kStep);
+  const std::uint64_t stale = this->service.BusiestSecond(stale_from);
+  std::cout << "fallback nodes=" << kNodes << " busiest_second_down=" << down
+            << " busiest_second_stale=" << stale << " naive_calls_per_second=" << kNodes << "\n";
+  EXPECT_GT(down, 0U);
+  EXPECT_LT(down, 500U);
+  EXPECT_LT(stale, 500U);
+}
+
+// Guards against a fleet that keeps the service above its call rate: without the platform's list
+// each node knows only itself and takes itself for a reader.
+TEST_F(ConfigurationReaderTest, ThrottledNodesBackOffBelowTheCallRate) {
+  constexpr std::size_t kNodes = 10000;
+  this->service.published = 5;
+  this->Add(kNodes, 0);
+  this->Run(seconds(120), milliseconds(250));
+  const Duration from = this->now;
+  this->Run(seconds(60), milliseconds(250));
+  std::cout << "throttled nodes=" << kNodes
+            << " busiest_second=" << this->service.BusiestSecond(from) << "\n";
+  EXPECT_LT(this->service.BusiestSecond(from), FakeConfigurationService::kCallRate);
+  for (const auto& node : this->nodes) {
+    EXPECT_EQ(node->store.VersionOf("manifest"), 5U);
+  }
+}
+
+// Guards against more calls at the target size than the goal: 37 zones with 3 readers each, 0.88
+// changes/s.
+TEST_F(ConfigurationReaderTest, ReadersOfTheTargetFleetStayBelowTheGoal) {
+  this->service.published = 1;
+  this->Add(111, 0);
+  this->Run(seconds(3));
+  const Duration from = this->now;
+  for (int i = 0; i < 60; ++i) {
+    ++this->service.published;
+    this->Run(milliseconds(1140));
+  }
+  const double seconds_run = std::chrono::duration<double>(this->now - from).count();
+  const double rate = static_cast<double>(this->service.TotalCalls(from)) / seconds_run;
+  std::cout << "readers=111 calls_per_second=" << rate
+            << " busiest_second=" << this->service.BusiestSecond(from) << "\n";
+  EXPECT_LT(rate, 110);
+  EXPECT_LT(this->service.BusiestSecond(from), 500U);
+  for (const auto& node : this->nodes) {
+    EXPECT_EQ(node->store.VersionOf("manifest"), this->service.published);
+  }
+}
+
+}  // namespace
+}  // namespace masticpin
--- a/masticpin/configuration/reader_selection.cc
+++ b/masticpin/configuration/reader_selection.cc
@@ -39,11 +39,11 @@
   std::size_t before = 0;
   for (const Ref<Member>& member : this->members.Members()) {
     if (member->zone == self.zone && member->state == MemberState::kLive &&
-        OrderOf(*member) < own && ++before >= this->settings.readers_per_zone) {
-      return false;
+        OrderOf(*member) < own) {
+      ++before;
     }
   }
-  return true;
+  return before < this->settings.readers_per_zone;
 }
 
 void ReaderSelection::Confirm(Duration age) {
--- /dev/null
+++ b/masticpin/membership/pause_detector_test.cc
@@ -0,0 +1,52 @@
+#include "masticpin/membership/pause_detector.h"
+
+#include <gtest/gtest.h>
+
+#include <vector>
+
+#include "masticpin/testing/fake_clock.h"
+
+namespace masticpin {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class PauseDetectorTest : public testing::Test {
+ protected:
+  PauseDetectorTest()
+      : detector(this->clock, this->clock, [this](Duration late) {
+          this->pauses.push_back(late);
+        }) {
+    this->detector.Start();
+  }
+
+  FakeClock clock;
+  std::vector<Duration> pauses;
+  PauseDetector detector;
+};
+
+// Guards against pauses that are missed, reported twice or reported without need.
+TEST_F(PauseDetectorTest, ReportsEachPauseOnce) {
+  this->clock.Advance(seconds(10));
+  this->clock.Pause(milliseconds(1050));
+  EXPECT_TRUE(this->pauses.empty());
+  this->clock.Advance(seconds(1));
+  this->clock.Pause(seconds(5));
+  ASSERT_EQ(this->pauses.size(), 1U);
+  EXPECT_EQ(this->pauses[0], milliseconds(4900));
+  this->clock.Advance(seconds(10));
+  EXPECT_EQ(this->pauses.size(), 1U);
+}
+
+// Guards against decisions between the end of a pause and the first timer.
+TEST_F(PauseDetectorTest, CheckFindsThePauseBeforeTheTimer) {
+  this->clock.Jump(seconds(5));
+  EXPECT_TRUE(this->detector.Check());
+  EXPECT_FALSE(this->detector.Check());
+  this->clock.Pause(Duration::zero());
+  EXPECT_EQ(this->pauses.size(), 1U);
+}
+
+}  // namespace
+}  // namespace masticpin
--- a/masticpin/routing/instance_selector.cc
+++ b/masticpin/routing/instance_selector.cc
@@ -178,6 +178,8 @@
 double InstanceSelector::ScoreOf(const Candidate& candidate,
                                  const Means& means,
                                  TimePoint now) const {
+  // A cold instance counts as a smaller one. A load that is not known counts as the mean as it is:
+  // a new instance would never be chosen, and never report, if it seemed to be loaded above it.
   const Instance& instance = *candidate.instance;
   double utilisation = means.utilisation;
   double limit = means.limit;
@@ -185,11 +187,10 @@
   if (freshness > 0 && instance.load.limit > 0) {
     const double reported =
         (instance.load.in_flight + instance.load.queued) / static_cast<double>(instance.load.limit);
-    utilisation += freshness * (reported - means.utilisation);
+    utilisation += freshness * (reported / candidate.share - means.utilisation);
     limit += freshness * (instance.load.limit - means.limit);
   }
-  // A cold instance counts as a smaller one.
-  return (utilisation + instance.outstanding / limit) / candidate.share;
+  return utilisation + instance.outstanding / (limit * candidate.share);
 }
 
 void InstanceSelector::OnSent(const InstanceId& id) {
