Add the stand-ins: upstream, platform and naive forwarder

The upstream holds a slot for the whole request, makes its inner calls through its node, and counts a run only after them; what it did not commit it reports as "not run". It slows down, drains, sheds, starts cold, shows a lagging or false load, and cuts, truncates, delays or duplicates responses on demand. Its own counts of arrivals and runs let a test check the nodes from outside.

The naive forwarder takes the settings of a node and retries three times at each hop, for comparison.

--- a/net/http_connection.cc
+++ b/net/http_connection.cc
@@ -38,12 +38,9 @@
 HttpConnection::HttpConnection(int socket_fd, Duration io_timeout)
     : socket_fd(socket_fd), io_timeout(io_timeout) {}
 
-bool HttpConnection::IsClosedByPeer() const {
-  pollfd entry{.fd = this->socket_fd, .events = POLLIN | POLLRDHUP, .revents = 0};
-  if (::poll(&entry, 1, 0) <= 0) {
-    return false;
-  }
-  return (entry.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+bool HttpConnection::WaitForClose(Duration time) const {
+  // Only POLLRDHUP is asked for: the next request of a caller that pipelines is no reason to wake.
+  return Poll(this->socket_fd, POLLRDHUP, time);
 }
 
 void HttpConnection::DropResponse(bool close) {
--- a/net/http_connection.h
+++ b/net/http_connection.h
@@ -19,8 +19,9 @@
   /// The connection served by the calling thread, or nullptr.
   static HttpConnection* Current();
 
-  /// Returns true if the caller has closed or reset the connection. Does not wait.
-  bool IsClosedByPeer() const;
+  /// Waits for `time`, or less if the caller closes or resets the connection. Returns true if it
+  /// has done so.
+  bool WaitForClose(Duration time) const;
 
   /// Drops everything written until the next request; the handler has written the response itself.
   /// If `close` is set, the connection ends without another request.
--- /dev/null
+++ b/standins/naive_forwarder.cc
@@ -0,0 +1,164 @@
+#include "standins/naive_forwarder.h"
+
+#include <spdlog/fmt/fmt.h>
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "masticpin/wire/http_headers.h"
+
+namespace masticpin::standins {
+
+namespace {
+
+// Three retries at every hop, a common default of HTTP clients and proxies.
+constexpr int kMaxTries = 4;
+
+// The time one try may take when the request states no deadline.
+constexpr Duration kDefaultTimeout = std::chrono::seconds(5);
+
+constexpr Duration kRefreshPeriod = std::chrono::seconds(1);
+
+constexpr std::size_t kMaxConnections = 1400;
+
+Duration Timeout(const httplib::Request& request) {
+  const std::string deadline = request.get_header_value(kDeadlineHeader);
+  long milliseconds = 0;
+  if (std::from_chars(deadline.data(), deadline.data() + deadline.size(), milliseconds).ec !=
+      std::errc()) {
+    return kDefaultTimeout;
+  }
+  return std::chrono::milliseconds(milliseconds);
+}
+
+httplib::Request CopyRequest(const httplib::Request& request, const std::string& action) {
+  httplib::Request copy;
+  copy.method = request.method;
+  copy.path = request.path;
+  copy.body = request.body;
+  constexpr std::array kPassed = {kIdempotencyKeyHeader, kContextHeader, kStepHeader,
+                                  kTraceparentHeader, "Content-Type"};
+  for (const char* header : kPassed) {
+    if (request.has_header(header)) {
+      copy.set_header(header, request.get_header_value(header));
+    }
+  }
+  copy.set_header(kActionHeader, action);
+  return copy;
+}
+
+bool IsFailure(const ClientPool::Reply& reply) {
+  return !reply.complete || reply.response.status >= 500;
+}
+
+}  // namespace
+
+NaiveForwarder::NaiveForwarder(NaiveSettings settings, RandomSource& random)
+    : settings(std::move(settings)), random(random), http({.max_connections = kMaxConnections}) {
+  const auto handle = [this](const httplib::Request& request, httplib::Response& response) {
+    this->Handle(request, response);
+  };
+  this->http.Get("/.*", handle);
+  this->http.Post("/.*", handle);
+  this->http.Put("/.*", handle);
+}
+
+NaiveForwarder::~NaiveForwarder() {
+  this->stopping = true;
+  if (this->refresher.joinable()) {
+    this->refresher.join();
+  }
+}
+
+void NaiveForwarder::StartRefresh() {
+  this->refresher = std::thread([this] {
+    while (!this->stopping) {
+      this->Refresh();
+      std::this_thread::sleep_for(kRefreshPeriod);
+    }
+  });
+}
+
+void NaiveForwarder::Refresh() {
+  httplib::Request request;
+  request.method = "GET";
+  request.path = "/v1/instances";
+  const auto reply = this->clients.Send(this->settings.platform_address, request, kDefaultTimeout);
+  if (reply.complete && reply.response.status == 200) {
+    this->SetInstances(reply.response.body);
+  } else {
+    spdlog::warn("event=instance_list_unreadable platform={}", this->settings.platform_address);
+  }
+}
+
+void NaiveForwarder::SetInstances(const std::string& json) {
+  const auto list = nlohmann::json::parse(json, nullptr, false);
+  std::vector<Instance> live;
+  for (const auto& entry : list) {
+    if (entry.is_object() && entry.value("state", "") == "live") {
+      live.push_back({entry.value("service", ""), entry.value("http", "")});
+    }
+  }
+  const std::lock_guard lock(this->mutex);
+  this->instances = std::move(live);
+}
+
+std::string NaiveForwarder::ChooseAddress(const std::string& service) {
+  if (service == this->settings.service) {
+    return this->settings.upstream_address;
+  }
+  const std::lock_guard lock(this->mutex);
+  std::vector<const Instance*> candidates;
+  for (const Instance& instance : this->instances) {
+    if (instance.service == service) {
+      candidates.push_back(&instance);
+    }
+  }
+  return candidates.empty() ? "" : candidates[this->random.Below(candidates.size())]->http;
+}
+
+void NaiveForwarder::Handle(const httplib::Request& request, httplib::Response& response) {
+  // The caller's key serves only to recognise the action in the upstreams' counts.
+  std::string action = request.get_header_value(kActionHeader);
+  if (action.empty()) {
+    action = request.get_header_value(kIdempotencyKeyHeader);
+  }
+  if (action.empty()) {
+    action = fmt::format("{}-{:016x}", this->settings.name, this->random.Next());
+  }
+  httplib::Request copy = CopyRequest(request, action);
+  const std::string service = request.path.substr(1, request.path.find('/', 1) - 1);
+  const TimePoint deadline = std::chrono::steady_clock::now() + Timeout(request);
+
+  ClientPool::Reply reply;
+  for (int tries = 0; tries < kMaxTries && IsFailure(reply); ++tries) {
+    const std::string address = this->ChooseAddress(service);
+    const Duration left = deadline - std::chrono::steady_clock::now();
+    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(left).count();
+    if (address.empty() || milliseconds <= 0) {
+      break;
+    }
+    copy.headers.erase(kDeadlineHeader);
+    copy.set_header(kDeadlineHeader, std::to_string(milliseconds));
+    reply = this->clients.Send(address, copy, left);
+  }
+
+  if (!reply.complete) {
+    response.status = 502;
+    response.set_header(kOutcomeHeader, "unknown");
+    return;
+  }
+  response.status = reply.response.status;
+  response.body = std::move(reply.response.body);
+  for (const char* header : {"Content-Type", kOutcomeHeader}) {
+    if (reply.response.has_header(header)) {
+      response.set_header(header, reply.response.get_header_value(header));
+    }
+  }
+}
+
+}  // namespace masticpin::standins
--- /dev/null
+++ b/standins/run_until_signal.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <functional>
+
+#include "net/http_server.h"
+
+namespace masticpin::standins {
+
+/// Blocks SIGTERM and SIGINT in the calling thread and all that it starts later. Call it first.
+void BlockStopSignals();
+
+/// Serves until SIGTERM or SIGINT arrives, then calls `on_stop` and finishes the requests in
+/// progress.
+void RunUntilSignal(HttpServer& server, const std::function<void()>& on_stop = {});
+
+}  // namespace masticpin::standins
--- /dev/null
+++ b/standins/upstream.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <atomic>
+#include <mutex>
+#include <optional>
+#include <string>
+
+#include "masticpin/base/clock.h"
+#include "masticpin/base/random_source.h"
+#include "standins/caller_watch.h"
+#include "standins/inner_caller.h"
+#include "standins/lagging_value.h"
+#include "standins/run_counter.h"
+#include "standins/upstream_settings.h"
+#include "standins/work_slots.h"
+
+namespace masticpin::standins {
+
+/// A request as the upstream sees it.
+struct UpstreamRequest {
+  std::string path;
+  /// Kind within the service of the upstream.
+  std::string kind;
+  std::string action;
+  std::string context;
+  std::string step;
+  std::string traceparent;
+  Duration time_left = std::chrono::seconds(30);
+};
+
+/// The response of the upstream. `outcome` is empty for a complete response.
+struct UpstreamResponse {
+  int status = 200;
+  std::string outcome;
+  std::string body;
+};
+
+/// What the load endpoint shows.
+struct UpstreamLoad {
+  std::size_t busy = 0;
+  std::size_t waiting = 0;
+};
+
+/// One instance of a service: makes the inner calls of a request, works for the service time in a
+/// slot, then commits the run. A request that does not reach the commit is reported "not run" only
+/// if no inner call committed anything. Thread-safe.
+class Upstream {
+ public:
+  /// All references must outlive the object; `random` must be thread-safe.
+  Upstream(UpstreamSettings settings, const Clock& clock, RandomSource& random, InnerCaller& inner);
+
+  UpstreamResponse Handle(const UpstreamRequest& request, CallerWatch& caller);
+
+  /// Service times are divided by `factor`, which must be greater than 0.
+  void SetSpeedFactor(double factor) { this->speed_factor = factor; }
+  /// While set, new requests are refused.
+  void SetDraining(bool value) { this->draining = value; }
+  /// While set, new requests are shed as if the queue were full.
+  void SetShedding(bool value) { this->shedding = value; }
+
+  const RunCounter& Runs() const { return this->runs; }
+  const UpstreamSettings& Settings() const { return this->settings; }
+  /// Lags or lies as the settings say.
+  UpstreamLoad ReportedLoad();
+
+ private:
+  /// Returns the response to give if an inner call failed.
+  std::optional<UpstreamResponse> MakeInnerCalls(const UpstreamRequest& request,
+                                                 const UpstreamKind& kind,
+                                                 TimePoint deadline,
+                                                 CallerWatch& caller,
+                                                 bool& committed);
+  UpstreamResponse RunInSlot(const UpstreamRequest& request,
+                             const UpstreamKind& kind,
+                             TimePoint deadline,
+                             CallerWatch& caller);
+  Duration ServiceTime(const UpstreamKind& kind);
+  void RecordLoad();
+
+  const UpstreamSettings settings;
+  const Clock& clock;
+  RandomSource& random;
+  InnerCaller& inner;
+  const TimePoint started;
+  WorkSlots slots;
+  RunCounter runs;
+  std::atomic<double> speed_factor;
+  std::atomic<bool> draining = false;
+  std::atomic<bool> shedding = false;
+  std::mutex load_mutex;
+  LaggingValue<UpstreamLoad> load;
+};
+
+}  // namespace masticpin::standins
--- /dev/null
+++ b/standins/upstream_server.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <mutex>
+#include <nlohmann/json.hpp>
+
+#include "masticpin/base/random_source.h"
+#include "net/http_server.h"
+#include "standins/response_fault.h"
+#include "standins/upstream.h"
+
+namespace masticpin::standins {
+
+/// HTTP side of an upstream: `/<service>/<kind>[/...]` for requests, and under `/_upstream/`
+/// `load`, `runs`, `actions` and `control` for tests.
+class UpstreamServer {
+ public:
+  /// The references must outlive the object.
+  UpstreamServer(Upstream& upstream, RandomSource& random);
+
+  HttpServer& Http() { return this->http; }
+
+ private:
+  void HandleRequest(const httplib::Request& request, httplib::Response& response);
+  void HandleLoad(httplib::Response& response);
+  void HandleRuns(const httplib::Request& request, httplib::Response& response);
+  void HandleActions(httplib::Response& response);
+  void HandleControl(const httplib::Request& request, httplib::Response& response);
+  /// The fault for the next response.
+  ResponseFault DrawFault();
+
+  Upstream& upstream;
+  RandomSource& random;
+  HttpServer http;
+  std::mutex fault_mutex;
+  ResponseFault fault;
+};
+
+}  // namespace masticpin::standins
