Add the load tool

An arrival without a free thread is counted as not sent.

At the end it joins its own records with the upstreams' counts by action key and reports what no single instance can see: actions run twice (summed over instances and successor keys), keys reported "not run" that ran, responses of other requests, and the attempts of one action against the manifest's bound.

--- /dev/null
+++ b/load/action.cc
@@ -0,0 +1,103 @@
+#include "load/action.h"
+
+#include <algorithm>
+#include <array>
+#include <nlohmann/json.hpp>
+#include <string_view>
+#include <utility>
+
+namespace masticpin::load {
+
+namespace {
+
+constexpr int kKeyRequiredStatus = 428;
+
+// A node that never accepts the keys it issues must not keep a caller in a loop.
+constexpr int kMaxKeyRequests = 3;
+
+// Errors that the design tells callers not to answer with a repetition.
+constexpr std::array<std::string_view, 6> kFinalErrors = {"malformed_request", "not_found",
+                                                          "body_too_large",    "attempts_exhausted",
+                                                          "outcome_lost",      "cancelled"};
+
+bool IsFinalError(const std::string& error) {
+  return std::find(kFinalErrors.begin(), kFinalErrors.end(), error) != kFinalErrors.end();
+}
+
+}  // namespace
+
+Action::Action(std::string path, std::string key, int retries)
+    : path(std::move(path)), retries_left(retries), key_requests_left(kMaxKeyRequests) {
+  this->keys.push_back({std::move(key), Outcome::kUnknown});
+}
+
+Action::Next Action::OnReply(const CallerReply& reply) {
+  KeyUse& use = this->keys.back();
+  use.last = ConcludeOutcome(reply);
+  switch (use.last) {
+    case Outcome::kComplete:
+      // A response that is no longer stored says only that the action is complete.
+      this->wrong_response = reply.status == 200 && !reply.is_own_response;
+      return Next::kEnd;
+    case Outcome::kUnknown:
+      // The same key again: the home still knows whether the action ran.
+      return IsFinalError(reply.error) ? Next::kEnd : this->Retry();
+    case Outcome::kNotRun:
+      break;
+  }
+
+  if (reply.status == kKeyRequiredStatus && !reply.key.empty() && this->key_requests_left > 0) {
+    --this->key_requests_left;
+    this->UseKey(reply.key);
+    return Next::kRetryNow;
+  }
+  if (IsFinalError(reply.error)) {
+    return Next::kEnd;
+  }
+  const Next next = this->Retry();
+  if (next == Next::kEnd) {
+    return next;
+  }
+  if (reply.key.empty() && reply.error == "draining") {
+    // The key dies with its home; another node issues a new one.
+    this->keys.push_back({"", Outcome::kUnknown});
+  }
+  this->UseKey(reply.key);
+  return next;
+}
+
+void Action::UseKey(const std::string& key) {
+  if (!key.empty() && key != this->Key()) {
+    this->keys.push_back({key, Outcome::kUnknown});
+  }
+}
+
+Action::Next Action::Retry() {
+  if (this->retries_left == 0) {
+    return Next::kEnd;
+  }
+  --this->retries_left;
+  return Next::kRetryLater;
+}
+
+Outcome ConcludeOutcome(const CallerReply& reply) {
+  if (!reply.has_response) {
+    return reply.not_sent ? Outcome::kNotRun : Outcome::kUnknown;
+  }
+  if (reply.outcome == "complete" || (reply.outcome.empty() && reply.status == 200)) {
+    return Outcome::kComplete;
+  }
+  return reply.outcome == "not-run" ? Outcome::kNotRun : Outcome::kUnknown;
+}
+
+bool IsOwnResponse(const std::string& body, const std::string& path, const std::string& key) {
+  const auto json = nlohmann::json::parse(body, nullptr, false);
+  if (!json.is_object() || !json.contains("data") || !json["data"].is_string() ||
+      !json.contains("bytes") || !json.contains("action") || !json.contains("path")) {
+    return false;
+  }
+  return json["data"].get_ref<const std::string&>().size() == json["bytes"] &&
+         json["path"] == path && (key.empty() || json["action"] == key);
+}
+
+}  // namespace masticpin::load
--- /dev/null
+++ b/load/arrival_plan.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <vector>
+
+#include "load/scenario.h"
+
+namespace masticpin::load {
+
+/// The start of one action.
+struct Arrival {
+  /// Time since the start of the run.
+  Duration at{};
+  /// Index into the scenario's root kinds.
+  std::size_t root = 0;
+};
+
+/// Draws the Poisson arrivals of all root kinds, ordered by time. The same scenario and seed give
+/// the same arrivals.
+std::vector<Arrival> DrawArrivals(const Scenario& scenario);
+
+}  // namespace masticpin::load
--- /dev/null
+++ b/load/key_pool.cc
@@ -0,0 +1,49 @@
+#include "load/key_pool.h"
+
+#include <charconv>
+#include <utility>
+
+namespace masticpin::load {
+
+namespace {
+
+// An action with retries may take this long, and its key must not expire on the way.
+constexpr Duration kMinLife = std::chrono::seconds(20);
+
+// More keys than requests in progress are never needed.
+constexpr std::size_t kMaxKeys = 4096;
+
+}  // namespace
+
+void KeyPool::Add(std::string_view header, TimePoint now) {
+  constexpr std::string_view kLife = "life=";
+  const std::size_t semicolon = header.find(';');
+  const std::size_t life = header.find(kLife);
+  if (semicolon == std::string_view::npos || life == std::string_view::npos) {
+    return;
+  }
+  const std::string_view number = header.substr(life + kLife.size());
+  long seconds = 0;
+  if (std::from_chars(number.data(), number.data() + number.size(), seconds).ec != std::errc()) {
+    return;
+  }
+  const std::lock_guard lock(this->mutex);
+  if (this->entries.size() < kMaxKeys) {
+    this->entries.push_back(
+        {std::string(header.substr(0, semicolon)), now + std::chrono::seconds(seconds)});
+  }
+}
+
+std::string KeyPool::Take(TimePoint now) {
+  const std::lock_guard lock(this->mutex);
+  while (!this->entries.empty()) {
+    Entry entry = std::move(this->entries.back());
+    this->entries.pop_back();
+    if (entry.expires - now >= kMinLife) {
+      return entry.key;
+    }
+  }
+  return "";
+}
+
+}  // namespace masticpin::load
--- /dev/null
+++ b/load/load_main.cc
@@ -0,0 +1,94 @@
+#include <gflags/gflags.h>
+#include <spdlog/spdlog.h>
+
+#include <cstdio>
+#include <fstream>
+#include <nlohmann/json.hpp>
+
+#include "load/load_runner.h"
+#include "net/system_random.h"
+#include "standins/ini_file.h"
+
+DEFINE_string(scenario, "", "INI file with the scenario");
+DEFINE_string(platform, "", "Address of the platform, whose list names the entry nodes");
+DEFINE_string(upstreams, "", "Upstreams as service@address, separated by commas");
+DEFINE_string(csv, "", "File for the figures over time");
+DEFINE_string(label, "masticpin", "First value of each result line");
+DEFINE_bool(generate_keys, false, "Make up action keys instead of using those of the nodes");
+
+namespace masticpin::load {
+namespace {
+
+std::vector<std::string> ReadEntries(standins::ClientPool& clients) {
+  httplib::Request request;
+  request.method = "GET";
+  request.path = "/v1/instances";
+  const auto reply = clients.Send(FLAGS_platform, request, std::chrono::seconds(5));
+  const auto list = nlohmann::json::parse(reply.response.body, nullptr, false);
+  std::vector<std::string> entries;
+  for (const auto& instance : list) {
+    if (instance.is_object() && instance.value("state", "") == "live") {
+      entries.push_back(instance.value("http", ""));
+    }
+  }
+  return entries;
+}
+
+bool ReadRuns(standins::ClientPool& clients, const LoadTargets& targets, RunTable& runs) {
+  httplib::Request request;
+  request.method = "GET";
+  request.path = "/_upstream/actions";
+  bool success = true;
+  for (const auto& [service, address] : targets.upstreams) {
+    const auto reply = clients.Send(address, request, std::chrono::seconds(30));
+    if (!reply.complete || !runs.Add(reply.response.body)) {
+      spdlog::error("event=runs_unreadable upstream={}", address);
+      success = false;
+    }
+  }
+  return success;
+}
+
+int Run() {
+  const auto scenario = Scenario::Load(FLAGS_scenario);
+  if (!scenario) {
+    return 1;
+  }
+  standins::ClientPool clients;
+  LoadTargets targets;
+  targets.entries = ReadEntries(clients);
+  targets.generate_keys = FLAGS_generate_keys;
+  for (const std::string& entry : standins::SplitList(FLAGS_upstreams)) {
+    const std::size_t at = std::min(entry.find('@'), entry.size() - 1);
+    targets.upstreams.emplace(entry.substr(0, at), entry.substr(at + 1));
+  }
+  if (targets.entries.empty()) {
+    spdlog::error("event=no_entry_nodes platform={}", FLAGS_platform);
+    return 1;
+  }
+
+  SystemRandom random;
+  LoadRunner runner(*scenario, targets, random);
+  const std::vector<ActionRecord> records = runner.Run();
+  RunTable runs;
+  const bool counted = ReadRuns(clients, targets, runs);
+
+  const Report report(*scenario, records, runs);
+  for (std::size_t root = 0; root < scenario->roots.size(); ++root) {
+    std::printf("version=%s %s\n", FLAGS_label.c_str(),
+                report.ToLine(report.Evaluate(root)).c_str());
+  }
+  if (!FLAGS_csv.empty()) {
+    std::ofstream(FLAGS_csv) << report.ToCsv();
+  }
+  // Without all counts the lines would promise more than was checked.
+  return counted ? 0 : 1;
+}
+
+}  // namespace
+}  // namespace masticpin::load
+
+int main(int argc, char** argv) {
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  return masticpin::load::Run();
+}
--- /dev/null
+++ b/load/load_runner.cc
@@ -0,0 +1,213 @@
+#include "load/load_runner.h"
+
+#include <spdlog/fmt/fmt.h>
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "masticpin/wire/http_headers.h"
+
+namespace masticpin::load {
+
+namespace {
+
+// A retry that finds all threads busy is not dropped but tried again after this time.
+constexpr Duration kBusyDelay = std::chrono::milliseconds(5);
+
+// A node answers by the deadline; the margin covers the way back.
+constexpr Duration kDeadlineMargin = std::chrono::milliseconds(300);
+
+CallerReply ReadReply(const standins::ClientPool::Reply& reply,
+                      const std::string& path,
+                      const std::string& key) {
+  CallerReply result;
+  result.has_response = reply.complete;
+  result.not_sent = reply.not_sent;
+  if (reply.complete) {
+    result.status = reply.response.status;
+    result.outcome = reply.response.get_header_value(kOutcomeHeader);
+    result.error = reply.response.get_header_value(kErrorHeader);
+    result.key = reply.response.get_header_value(kIdempotencyKeyHeader);
+    result.is_own_response = result.status == 200 && IsOwnResponse(reply.response.body, path, key);
+  }
+  return result;
+}
+
+}  // namespace
+
+/// An action in progress and the record that it fills.
+struct LoadRunner::Running {
+  Action action;
+  ActionRecord* record = nullptr;
+};
+
+LoadRunner::LoadRunner(const Scenario& scenario, const LoadTargets& targets, RandomSource& random)
+    : scenario(scenario), targets(targets), random(random), pool(scenario.threads) {}
+
+std::vector<ActionRecord> LoadRunner::Run() {
+  const std::vector<Arrival> arrivals = DrawArrivals(this->scenario);
+  // The threads write into the records, so the vector must not move.
+  this->records.resize(arrivals.size());
+  this->started = std::chrono::steady_clock::now();
+  std::size_t phase = 0;
+  for (std::size_t i = 0; i < arrivals.size(); ++i) {
+    while (phase < this->scenario.phases.size() &&
+           arrivals[i].at >= this->scenario.PhaseBegin(phase)) {
+      this->RunRetriesUntil(this->scenario.PhaseBegin(phase));
+      this->StartPhase(phase++);
+    }
+    this->RunRetriesUntil(arrivals[i].at);
+    this->Start(arrivals[i], i);
+  }
+  this->RunRetriesUntil(this->scenario.Length());
+  // Retries are bounded and each try has a timeout, so this ends.
+  while (true) {
+    {
+      const std::lock_guard lock(this->mutex);
+      if (this->unfinished == 0) {
+        break;
+      }
+    }
+    this->RunRetriesUntil(this->Elapsed() + std::chrono::milliseconds(50));
+  }
+  this->pool.shutdown();
+  return std::move(this->records);
+}
+
+void LoadRunner::StartPhase(std::size_t phase) {
+  spdlog::info("event=phase name={}", this->scenario.phases[phase].name);
+  if (phase > 0) {
+    for (const auto& [service, factor] : this->scenario.phases[phase - 1].speed_factors) {
+      this->SetSpeed(service, 1.0);
+    }
+  }
+  for (const auto& [service, factor] : this->scenario.phases[phase].speed_factors) {
+    this->SetSpeed(service, factor);
+  }
+}
+
+void LoadRunner::SetSpeed(const std::string& service, double factor) {
+  const auto [begin, end] = this->targets.upstreams.equal_range(service);
+  for (auto upstream = begin; upstream != end; ++upstream) {
+    httplib::Request request;
+    request.method = "POST";
+    request.path = "/_upstream/control";
+    request.body = fmt::format(R"({{"speed_factor":{}}})", factor);
+    const auto reply = this->clients.Send(upstream->second, request, std::chrono::seconds(1));
+    if (!reply.complete || reply.response.status != 200) {
+      spdlog::error("event=speed_not_set upstream={}", upstream->second);
+    }
+  }
+}
+
+void LoadRunner::Start(const Arrival& arrival, std::size_t number) {
+  const RootKind& root = this->scenario.roots[arrival.root];
+  ActionRecord& record = this->records[number];
+  record.root = arrival.root;
+  record.arrived = arrival.at;
+  {
+    const std::lock_guard lock(this->mutex);
+    if (this->in_progress >= this->scenario.threads) {
+      record.sent = false;
+      return;
+    }
+    ++this->in_progress;
+    ++this->unfinished;
+  }
+  std::string key;
+  if (this->targets.generate_keys) {
+    key = fmt::format("load-{:016x}-{}", this->random.Next(), number);
+  } else if (root.use_key) {
+    key = this->keys.Take(std::chrono::steady_clock::now());
+  }
+  auto* running = new Running{
+      Action(fmt::format("/{}/{}", root.name, number), key, this->scenario.retries), &record};
+  this->Dispatch(*running);
+}
+
+void LoadRunner::Dispatch(Running& running) {
+  this->pool.enqueue([this, &running] { this->Try(running); });
+}
+
+void LoadRunner::Try(Running& running) {
+  const RootKind& root = this->scenario.roots[running.record->root];
+  Action& action = running.action;
+  Action::Next next = Action::Next::kRetryNow;
+  while (next == Action::Next::kRetryNow) {
+    const std::string key = action.Key();
+    httplib::Request request;
+    request.method = "POST";
+    request.path = action.Path();
+    request.body.assign(root.body_bytes, 'x');
+    request.set_header("Content-Type", "text/plain");
+    request.set_header(
+        kDeadlineHeader,
+        std::to_string(
+            std::chrono::duration_cast<std::chrono::milliseconds>(root.deadline).count()));
+    if (!key.empty()) {
+      request.set_header(kIdempotencyKeyHeader, key);
+    }
+    const std::string& entry =
+        this->targets.entries[this->random.Below(this->targets.entries.size())];
+    const auto reply = this->clients.Send(entry, request, root.deadline + kDeadlineMargin);
+    if (reply.complete && reply.response.has_header(kNextKeyHeader)) {
+      this->keys.Add(reply.response.get_header_value(kNextKeyHeader),
+                     std::chrono::steady_clock::now());
+    }
+    next = action.OnReply(ReadReply(reply, action.Path(), key));
+  }
+
+  const std::lock_guard lock(this->mutex);
+  --this->in_progress;
+  if (next == Action::Next::kRetryLater) {
+    this->retries.push({this->Elapsed() + this->RetryDelay(), &running});
+  } else {
+    ActionRecord& record = *running.record;
+    record.ended = this->Elapsed();
+    record.outcome = action.LastOutcome();
+    record.wrong_response = action.WrongResponse();
+    record.keys = action.Keys();
+    --this->unfinished;
+    delete &running;
+  }
+  this->changed.notify_one();
+}
+
+void LoadRunner::RunRetriesUntil(Duration time) {
+  std::unique_lock lock(this->mutex);
+  while (true) {
+    const Duration now = this->Elapsed();
+    while (!this->retries.empty() && this->retries.top().at <= now) {
+      Due due = this->retries.top();
+      this->retries.pop();
+      if (this->in_progress >= this->scenario.threads) {
+        due.at = now + kBusyDelay;
+        this->retries.push(due);
+        continue;
+      }
+      ++this->in_progress;
+      this->Dispatch(*due.running);
+    }
+    if (now >= time) {
+      return;
+    }
+    const Duration next = this->retries.empty() ? time : std::min(time, this->retries.top().at);
+    this->changed.wait_until(lock, this->started + next);
+  }
+}
+
+Duration LoadRunner::RetryDelay() {
+  const Duration mean = this->scenario.retry_delay;
+  if (mean <= Duration::zero()) {
+    return Duration::zero();
+  }
+  return mean / 2 + Duration(static_cast<Duration::rep>(
+                        this->random.Below(static_cast<std::uint64_t>(mean.count()))));
+}
+
+Duration LoadRunner::Elapsed() const {
+  return std::chrono::steady_clock::now() - this->started;
+}
+
+}  // namespace masticpin::load
