--- a/net/http_connection.h
+++ b/net/http_connection.h
@@ -19,6 +19,9 @@
   /// The connection served by the calling thread, or nullptr.
   static HttpConnection* Current();
 
+  /// Returns true if the caller has closed or reset the connection. Does not wait.
+  bool IsClosedByPeer() const { return this->WaitForClose(Duration::zero()); }
+
   /// Waits for `time`, or less if the caller closes or resets the connection. Returns true if it
   /// has done so.
   bool WaitForClose(Duration time) const;
