--- a/net/http_front.h
+++ b/net/http_front.h
@@ -18,6 +18,9 @@
   /// Binds to "ip:port" and starts to serve. Returns the port, or -1 on failure.
   int Start(const std::string& address);
 
+  /// Changes the bound on connections. Thread-safe.
+  void SetMaxConnections(std::size_t count) { this->server.SetMaxConnections(count); }
+
   /// Stops accepting, finishes the requests in progress and ends all threads.
   void Stop();
 
--- a/net/http_server.cc
+++ b/net/http_server.cc
@@ -16,6 +16,9 @@
 // cpp-httplib listens with a backlog of 5, which loses connections when callers connect in a burst.
 constexpr int kBacklog = 1024;
 
+// More than twice the largest bound on connections of a service (1,400).
+constexpr std::size_t kMaxThreads = 4096;
+
 // The idle timeout can drop while a connection waits, so it is checked this often.
 constexpr Duration kIdleCheck = std::chrono::seconds(1);
 
@@ -38,11 +41,14 @@
   return current_connection;
 }
 
-HttpServer::HttpServer(const HttpServerOptions& options) : options(options) {
+HttpServer::HttpServer(const HttpServerOptions& options)
+    : options(options), max_connections(options.max_connections) {
   this->set_socket_options(&SetListenOptions);
   this->set_payload_max_length(options.max_body_bytes);
-  this->new_task_queue = [options] {
-    return new ConnectionPool(options.max_connections + options.overflow_connections);
+  this->new_task_queue = [this] {
+    // The bound on connections may be raised while the server runs; threads exist only on demand.
+    return new ConnectionPool(std::max(kMaxThreads, this->max_connections.load()) +
+                              this->options.overflow_connections);
   };
   this->set_pre_routing_handler([](const httplib::Request& request, httplib::Response& response) {
     if (request.path.size() <= kMaxPathBytes) {
@@ -89,7 +95,7 @@
 bool HttpServer::process_and_close_socket(int socket_fd) {
   const int on = 1;
   ::setsockopt(socket_fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-  in_overflow = ++this->connections > this->options.max_connections;
+  in_overflow = ++this->connections > this->max_connections;
   HttpConnection connection(socket_fd, this->options.io_timeout);
   current_connection = &connection;
 
@@ -116,7 +122,7 @@
   Duration waited{};
   bool ready = false;
   while (!this->stopping) {
-    const bool busy = this->connections * 4 > this->options.max_connections * 3;
+    const bool busy = this->connections * 4 > this->max_connections * 3;
     const Duration timeout = busy ? this->options.busy_idle_timeout : this->options.idle_timeout;
     if (waited >= timeout) {
       break;
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -28,6 +28,9 @@
   /// Ends listen_after_bind() after the requests in progress; idle connections are closed at once.
   void Stop();
 
+  /// Changes the bound on connections. Thread-safe.
+  void SetMaxConnections(std::size_t count) { this->max_connections = count; }
+
   /// Connections that are being served, idle ones included.
   std::size_t Connections() const { return this->connections; }
 
@@ -41,6 +44,7 @@
   void SetIdle(int socket_fd, bool idle);
 
   const HttpServerOptions options;
+  std::atomic<std::size_t> max_connections;
   std::atomic<std::size_t> connections = 0;
   std::atomic<bool> stopping = false;
   std::mutex idle_mutex;
--- a/net/node.cc
+++ b/net/node.cc
@@ -9,7 +9,6 @@
 
 #include "masticpin/error/answer_table.h"
 #include "masticpin/manifest/manifest_parser.h"
-#include "net/address.h"
 
 namespace masticpin {
 namespace {
@@ -22,43 +21,43 @@
 /// How often a draining node looks whether it is done.
 constexpr auto kDrainCheck = milliseconds(20);
 
-std::string EndpointOf(const std::string& address) {
-  return "tcp://" + address;
+std::string EndpointOf(const SocketAddress& address) {
+  return "tcp://" + address.ToString();
 }
 
-Member MakeSelf(const NodeOptions& options, std::uint64_t incarnation, TimePoint now) {
+Member MakeSelf(const NodeSettings& settings, std::uint64_t incarnation, TimePoint now) {
   Member self;
-  self.id = {options.name, incarnation};
-  self.service = options.service;
-  self.zone = options.zone;
-  self.peer_endpoint = EndpointOf(options.peer_address);
-  self.http_address = options.http_address;
+  self.id = {settings.name, incarnation};
+  self.service = settings.service;
+  self.zone = settings.zone;
+  self.peer_endpoint = EndpointOf(settings.peer_address);
+  self.http_address = settings.http_address.ToString();
   self.self = true;
   self.first_seen = now;
   return self;
 }
 
-FleetStateSettings MakeFleetSettings(const NodeOptions& options) {
-  FleetStateSettings settings;
-  settings.document = options.document;
-  return settings;
+FleetStateSettings MakeFleetSettings(const NodeSettings& settings) {
+  FleetStateSettings fleet;
+  fleet.document = settings.document;
+  return fleet;
 }
 
-UpstreamClientSettings MakeUpstreamSettings(const NodeOptions& options) {
-  const Address address = Address::Parse(options.upstream_address);
-  UpstreamClientSettings settings;
-  settings.host = address.host;
-  settings.port = address.port;
-  return settings;
+UpstreamClientSettings MakeUpstreamSettings(const NodeSettings& settings) {
+  UpstreamClientSettings upstream;
+  upstream.host = settings.upstream_address.ip;
+  upstream.port = settings.upstream_address.port;
+  return upstream;
 }
 
 }  // namespace
 
-Node::Node(const NodeOptions& options)
-    : options(options),
+Node::Node(const NodeSettings& settings, const NodeOptions& options)
+    : settings(settings),
+      options(options),
       timers(this->core, this->clock),
-      platform(this->core, options.platform_address),
-      mint({options.name, this->random.Next()}, this->clock, this->random),
+      platform(this->core, settings.platform_address),
+      mint({settings.name, this->random.Next()}, this->clock, this->random),
       ledger(LedgerSettings(), this->mint, this->timers),
       inner_calls(this->random),
       executions(ExecutionTableSettings(),
@@ -66,16 +65,16 @@
                  this->mint.Epochs(),
                  this->timers),
       retry_ratio(this->clock),
-      upstream(MakeUpstreamSettings(options), this->clock),
+      upstream(MakeUpstreamSettings(settings), this->clock),
       workers(1),
-      fleet(MakeSelf(options, this->mint.Self().incarnation, this->clock.Now()),
+      fleet(MakeSelf(settings, this->mint.Self().incarnation, this->clock.Now()),
             *this,
             this->platform,
             *this,
             this->clock,
             this->timers,
             this->random,
-            MakeFleetSettings(options)),
+            MakeFleetSettings(settings)),
       router(this->fleet),
       home(this->core,
            this->clock,
@@ -94,13 +93,12 @@
                  this->retry_ratio,
                  this->home) {
   this->home.SetDispatcher(this->dispatcher);
+  this->front = std::make_unique<HttpFront>(HttpServerOptions(), *this);
 }
 
 Node::~Node() {
   // Threads first, so that nothing calls into the objects that are destroyed.
-  if (this->front != nullptr) {
-    this->front->Stop();
-  }
+  this->front->Stop();
   this->platform.Stop();
   this->workers.Stop();
   if (this->transport != nullptr) {
@@ -112,9 +110,9 @@
 std::string Node::Start() {
   // Messages from other nodes come first: the start-up asks peers.
   PeerTransportSettings transport_settings;
-  transport_settings.bind_endpoint = EndpointOf(this->options.peer_address);
-  transport_settings.public_key = this->options.public_key;
-  transport_settings.secret_key = this->options.secret_key;
+  transport_settings.bind_endpoint = EndpointOf(this->settings.peer_address);
+  transport_settings.public_key = this->settings.public_key;
+  transport_settings.secret_key = this->settings.secret_key;
   try {
     const NodeCore::Section section(this->core);
     PeerHandler& handler = *this;
@@ -122,7 +120,7 @@
     this->fleet.Members().AddObserver(*this);
     this->fleet.Documents().AddListener(*this);
   } catch (const zmq::error_t& error) {
-    return "cannot bind " + this->options.peer_address + ": " + error.what();
+    return "cannot bind " + this->settings.peer_address.ToString() + ": " + error.what();
   }
 
   {
@@ -131,16 +129,13 @@
     this->fleet.Start();
   }
 
-  HttpServerOptions http;
-  // The manifest names the bound for the service; it is not known yet when the socket is bound.
-  http.max_connections = this->options.max_connections;
-  this->front = std::make_unique<HttpFront>(http, *this);
-  if (this->front->Start(this->options.http_address) < 0) {
-    return "cannot bind " + this->options.http_address;
+  const std::string http_address = this->settings.http_address.ToString();
+  if (this->front->Start(http_address) < 0) {
+    return "cannot bind " + http_address;
   }
   spdlog::info("event=node_started instance={} incarnation={:016x} service={} zone={}",
-               this->options.name, this->mint.Self().incarnation, this->options.service,
-               this->options.zone);
+               this->settings.name, this->mint.Self().incarnation, this->settings.service,
+               this->settings.zone);
   return "";
 }
 
@@ -155,7 +150,7 @@
     }
   }
   this->front->Stop();
-  spdlog::info("event=node_stopped instance={}", this->options.name);
+  spdlog::info("event=node_stopped instance={}", this->settings.name);
 }
 
 CallerResponse Node::Handle(const CallerRequest& request) {
@@ -165,16 +160,16 @@
 std::string Node::StatusJson() {
   const NodeCore::Section section(this->core);
   nlohmann::json status;
-  status["instance"] = this->options.name;
+  status["instance"] = this->settings.name;
   status["incarnation"] = this->mint.Self().incarnation;
-  status["service"] = this->options.service;
-  status["zone"] = this->options.zone;
+  status["service"] = this->settings.service;
+  status["zone"] = this->settings.zone;
   status["state"] = this->draining              ? "draining"
                     : this->fleet.Gate().Open() ? "serving"
                                                 : "starting";
 
   // Configuration.
-  const Document* document = this->fleet.Documents().Find(this->options.document);
+  const Document* document = this->fleet.Documents().Find(this->settings.document);
   nlohmann::json& configuration = status["configuration"];
   configuration["version"] = document == nullptr ? 0 : document->version;
   configuration["source"] = document == nullptr ? "" : document->source.ToString();
@@ -251,7 +246,7 @@
   }
   this->draining = true;
   this->drain_began = this->clock.Now();
-  spdlog::info("event=drain_began instance={} in_progress={}", this->options.name,
+  spdlog::info("event=drain_began instance={} in_progress={}", this->settings.name,
                this->home.InProgress());
   this->fleet.Leave();
   this->home.Drain();
@@ -359,7 +354,7 @@
 
 void Node::OnEnvelope(const wire::Envelope& envelope) {
   const NodeCore::Section section(this->core);
-  if (!envelope.has_sender() || envelope.sender().name() == this->options.name) {
+  if (!envelope.has_sender() || envelope.sender().name() == this->settings.name) {
     ++this->metrics.malformed_messages;
     return;
   }
@@ -456,17 +451,18 @@
   if (parsed.manifest->Version() != version) {
     return "the version in the manifest differs from that of the document";
   }
-  if (parsed.manifest->FindService(this->options.service) == nullptr) {
-    return "the manifest does not name service " + this->options.service;
+  if (parsed.manifest->FindService(this->settings.service) == nullptr) {
+    return "the manifest does not name service " + this->settings.service;
   }
   return "";
 }
 
 void Node::OnDocument(const Document& document) {
   this->manifest = ManifestParser::Parse(*document.bytes, document.name).manifest;
-  const ServiceSpec& service = *this->manifest->FindService(this->options.service);
+  const ServiceSpec& service = *this->manifest->FindService(this->settings.service);
   this->upstream.SetShedStatus(service.shed_status);
   this->workers.SetMaxThreads(service.slots);
+  this->front->SetMaxConnections(service.connections);
 
   // The first manifest makes the executor; later ones change its settings.
   if (this->admission == nullptr) {
@@ -488,9 +484,9 @@
   this->home.SetManifest(this->manifest);
 
   // The services to which this node sends requests.
-  std::vector<std::string> used = {this->options.service};
+  std::vector<std::string> used = {this->settings.service};
   for (const KindSpec& kind : this->manifest->Kinds()) {
-    if (kind.service == this->options.service) {
+    if (kind.service == this->settings.service) {
       for (const KindRef& call : kind.calls) {
         used.push_back(call.service);
       }
--- a/net/node.h
+++ b/net/node.h
@@ -18,6 +18,7 @@
 #include "masticpin/execution/key_mint.h"
 #include "masticpin/fleet/fleet_state.h"
 #include "masticpin/membership/member_observer.h"
+#include "masticpin/settings/node_settings.h"
 #include "masticpin/wire/envelope_sender.h"
 #include "net/executor.h"
 #include "net/home.h"
@@ -51,7 +52,7 @@
              private MemberObserver,
              private TimerSubscriber {
  public:
-  explicit Node(const NodeOptions& options);
+  explicit Node(const NodeSettings& settings, const NodeOptions& options = {});
   ~Node() override;
 
   /// Binds the addresses and starts to serve. Returns an empty string, or the reason for a failure.
@@ -126,6 +127,7 @@
     TimePoint sent_at;
   };
 
+  const NodeSettings settings;
   const NodeOptions options;
   const SystemClock clock;
   SystemRandom random;
--- a/net/peer_transport.cc
+++ b/net/peer_transport.cc
@@ -101,7 +101,7 @@
   for (Command& command : taken) {
     switch (command.kind) {
       case CommandKind::kConnect:
-        this->GetPeer(command.endpoint);
+        this->FindOrConnect(command.endpoint);
         break;
       case CommandKind::kDisconnect:
         this->peers.erase(command.endpoint);
@@ -117,10 +117,10 @@
 }
 
 void PeerTransport::SendNow(const std::string& endpoint, const wire::Envelope& envelope) {
+  zmq::socket_t* peer = this->FindOrConnect(endpoint);
   envelope.SerializeToString(&this->buffer);
-  const auto sent =
-      this->GetPeer(endpoint).send(zmq::buffer(this->buffer), zmq::send_flags::dontwait);
-  if (!sent.has_value()) {
+  if (peer == nullptr ||
+      !peer->send(zmq::buffer(this->buffer), zmq::send_flags::dontwait).has_value()) {
     this->handler.OnSendFailed(endpoint, envelope);
   }
 }
@@ -154,10 +154,10 @@
   }
 }
 
-zmq::socket_t& PeerTransport::GetPeer(const std::string& endpoint) {
+zmq::socket_t* PeerTransport::FindOrConnect(const std::string& endpoint) {
   const auto found = this->peers.find(endpoint);
   if (found != this->peers.end()) {
-    return found->second;
+    return &found->second;
   }
   zmq::socket_t socket(this->context, zmq::socket_type::dealer);
   this->ApplyCommonOptions(socket);
@@ -168,8 +168,14 @@
     socket.set(zmq::sockopt::curve_publickey, this->settings.public_key);
     socket.set(zmq::sockopt::curve_secretkey, this->settings.secret_key);
   }
-  socket.connect(endpoint);
-  return this->peers.emplace(endpoint, std::move(socket)).first->second;
+  try {
+    socket.connect(endpoint);
+  } catch (const zmq::error_t& error) {
+    // Endpoints come from other processes, so a wrong one must not end this one.
+    spdlog::warn("event=connect_failed endpoint=\"{}\" error=\"{}\"", endpoint, error.what());
+    return nullptr;
+  }
+  return &this->peers.emplace(endpoint, std::move(socket)).first->second;
 }
 
 void PeerTransport::ApplyCommonOptions(zmq::socket_t& socket) const {
--- a/net/peer_transport.h
+++ b/net/peer_transport.h
@@ -49,7 +49,8 @@
   bool RunCommands();
   void SendNow(const std::string& endpoint, const wire::Envelope& envelope);
   void Receive();
-  zmq::socket_t& GetPeer(const std::string& endpoint);
+  /// Returns nullptr if the endpoint is not valid.
+  zmq::socket_t* FindOrConnect(const std::string& endpoint);
   void ApplyCommonOptions(zmq::socket_t& socket) const;
 
   const PeerTransportSettings settings;
--- a/net/peer_transport_test.cc
+++ b/net/peer_transport_test.cc
@@ -115,6 +115,18 @@
   ASSERT_TRUE(handler.WaitFor([&] { return handler.failed >= 30; }));
 }
 
+// Guards against an endpoint from another process that ends this one: the first list of instances
+// without a protocol prefix ended every node.
+TEST(PeerTransportTest, InvalidEndpointOnlyFailsTheSend) {
+  RecordingHandler handler;
+  PeerTransport transport(Settings(FreeEndpoint()), handler);
+
+  transport.Send("127.0.0.1:1", Ping(1));
+  transport.Send("", Ping(2));
+
+  EXPECT_TRUE(handler.WaitFor([&] { return handler.failed == 2; }));
+}
+
 // Guards against a node without the deployment's keys that speaks to its peers.
 TEST(PeerTransportTest, PeerWithoutKeysIsNotHeard) {
   const auto [public_key, secret_key] = [] {
--- a/net/platform_client.cc
+++ b/net/platform_client.cc
@@ -7,8 +7,6 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "net/address.h"
-
 namespace masticpin {
 namespace {
 
@@ -47,11 +45,12 @@
     instance.service = text_of("service");
     instance.zone = text_of("zone");
     instance.http_address = text_of("http");
-    instance.peer_endpoint = text_of("peer");
     instance.leaving = text_of("state") == "leaving";
-    if (instance.name.empty() || instance.service.empty() || instance.peer_endpoint.empty()) {
+    const std::optional<SocketAddress> peer = SocketAddress::Parse(text_of("peer"));
+    if (instance.name.empty() || instance.service.empty() || !peer.has_value()) {
       return std::nullopt;
     }
+    instance.peer_endpoint = "tcp://" + peer->ToString();
     instances.push_back(std::move(instance));
   }
   return instances;
@@ -63,7 +62,7 @@
 class PlatformClient::Call : public WorkItem {
  public:
   Call(PlatformClient& owner, std::string path, Duration wait)
-      : owner(owner), path(std::move(path)), client(owner.host, owner.port) {
+      : owner(owner), path(std::move(path)), client(owner.address.ip, owner.address.port) {
     this->client.set_tcp_nodelay(true);
     this->client.set_connection_timeout(kAnswerTime);
     this->client.set_read_timeout(duration_cast<microseconds>(wait) + kAnswerTime);
@@ -143,12 +142,8 @@
   const ListCallback callback;
 };
 
-PlatformClient::PlatformClient(NodeCore& core, const std::string& address)
-    : core(core), workers(kMaxThreads) {
-  const Address parsed = Address::Parse(address);
-  this->host = parsed.host;
-  this->port = parsed.port;
-}
+PlatformClient::PlatformClient(NodeCore& core, SocketAddress address)
+    : core(core), address(std::move(address)), workers(kMaxThreads) {}
 
 PlatformClient::~PlatformClient() {
   this->Stop();
--- a/net/platform_client.h
+++ b/net/platform_client.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "masticpin/base/socket_address.h"
 #include "masticpin/configuration/configuration_service_client.h"
 #include "masticpin/membership/listed_instance.h"
 #include "net/node_core.h"
@@ -22,8 +23,8 @@
   /// No value if the list could not be read.
   using ListCallback = std::function<void(std::optional<std::vector<ListedInstance>>)>;
 
-  /// `address` is "ip:port". `core` must outlive the client.
-  PlatformClient(NodeCore& core, const std::string& address);
+  /// `core` must outlive the client.
+  PlatformClient(NodeCore& core, SocketAddress address);
   ~PlatformClient() override;
 
   // ConfigurationServiceClient:
@@ -47,8 +48,7 @@
   std::uint64_t Start(std::unique_ptr<Call> call);
 
   NodeCore& core;
-  std::string host;
-  int port = 0;
+  const SocketAddress address;
   std::uint64_t next_call = 1;
   bool stopping = false;
   std::unordered_map<std::uint64_t, std::unique_ptr<Call>> calls;
