Add the trace and metrics modules

Each hop records one span and several metrics, so recording must be cheap and bounded.

The undefined behaviour sanitizer found a copy of an empty line from a null pointer in the INI reader, which is fixed here. masticpinctl now says that a node did not respond instead of only naming the httplib error.

--- a/ctl/node_client.cc
+++ b/ctl/node_client.cc
@@ -15,7 +15,7 @@
 
 std::optional<NodeResponse> ToResponse(const httplib::Result& result, std::string& error) {
   if (!result) {
-    error = httplib::to_string(result.error());
+    error = "no response from the node (" + httplib::to_string(result.error()) + ")";
     return std::nullopt;
   }
   return NodeResponse{result->status, result->body};
--- a/masticpin/base/ini_document.cc
+++ b/masticpin/base/ini_document.cc
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <boost/locale/utf.hpp>
-#include <cstring>
 #include <functional>
 #include <set>
 #include <utility>
@@ -87,7 +86,7 @@
                               " bytes; a list may continue on an indented line after a comma");
       self->line = {};
     }
-    std::memcpy(buffer, self->line.data(), self->line.size());
+    self->line.copy(buffer, self->line.size());
     buffer[self->line.size()] = '\n';
     buffer[self->line.size() + 1] = '\0';
     return buffer;
--- /dev/null
+++ b/masticpin/trace/span.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <array>
+#include <boost/container/static_vector.hpp>
+#include <boost/static_string/static_string.hpp>
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+#include "masticpin/base/time.h"
+#include "masticpin/error/error_kind.h"
+#include "masticpin/trace/trace_context.h"
+
+namespace masticpin {
+
+/// What a node did with a request.
+enum class SpanDecision : std::uint8_t {
+  kNone,
+  /// Dispatched to the node's own upstream.
+  kAdmitted,
+  /// Sent to another node.
+  kForwarded,
+  /// Joined an execution that was running already.
+  kJoined,
+  /// Answered with the stored response.
+  kReplayed,
+  kRefused,
+};
+
+/// Returns the name of `decision` in lower case.
+std::string_view SpanDecisionName(SpanDecision decision);
+
+/// The record of one hop of a request. Holds no memory outside of itself, so that recording a span
+/// does not allocate; longer texts are cut.
+struct Span {
+  /// Room for "service/kind" with names of the greatest length.
+  static constexpr std::size_t kMaxNameLength = 127;
+  static constexpr std::size_t kMaxValueLength = 63;
+  static constexpr std::size_t kMaxAttributes = 4;
+
+  struct Attribute {
+    /// Must have static storage duration.
+    std::string_view key;
+    boost::static_strings::static_string<kMaxValueLength> value;
+  };
+
+  boost::static_strings::static_string<kMaxNameLength> name;
+  /// Trace id and span id of this span.
+  TraceContext context;
+  /// Span id of the caller's span; zeros for a root.
+  std::array<std::uint8_t, 8> parent_span_id{};
+  TimePoint start{};
+  TimePoint end{};
+  /// Wall-clock time at `start`, for display only.
+  std::chrono::system_clock::time_point wall_start{};
+  SpanDecision decision = SpanDecision::kNone;
+  /// Number of dispatches of this request at this node; 0 when there was none.
+  std::uint32_t attempt = 0;
+  /// Nothing when the response was complete.
+  std::optional<ErrorKind> error;
+  boost::container::static_vector<Attribute, kMaxAttributes> attributes;
+
+  Duration Length() const { return this->end - this->start; }
+
+  void SetName(std::string_view text);
+
+  /// Attributes above kMaxAttributes are dropped.
+  void AddAttribute(std::string_view key, std::string_view value);
+};
+
+}  // namespace masticpin
