Test the bound on attempts over a chain of 15 services

Retries on each hop without a bound make 7,174,453 attempts for one caller try. In chains of non-idempotent kinds no step that may have run is repeated.

--- /dev/null
+++ b/masticpin/execution/attempt_bound_test.cc
@@ -0,0 +1,301 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <string>
+
+#include "masticpin/error/answer_table.h"
+#include "masticpin/execution/action_ledger.h"
+#include "masticpin/execution/execution_table.h"
+#include "masticpin/execution/home_dispatcher.h"
+#include "masticpin/execution/inner_call_table.h"
+#include "masticpin/testing/fake_clock.h"
+#include "masticpin/testing/recording_waiter.h"
+#include "masticpin/testing/seeded_random.h"
+
+namespace masticpin {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int kDepth = 15;
+constexpr std::uint32_t kCallerTries = 10;
+// Naive retries, and repetitions of an inner call by its upstream.
+constexpr int kTriesPerHop = 3;
+
+// Inner calls of each upstream by depth; the deepest service makes none.
+int FanOut(int depth) {
+  if (depth == kDepth) {
+    return 0;
+  }
+  return depth == 1 || depth == 5 || depth == 10 ? 2 : 1;
+}
+
+// Attempts of one complete run from `depth` downwards.
+std::uint32_t CostOf(int depth) {
+  return 1 + (depth == kDepth ? 0 : static_cast<std::uint32_t>(FanOut(depth)) * CostOf(depth + 1));
+}
+
+// How often an upstream fails, in percent, and how often a reply is lost.
+struct ChainPlan {
+  std::uint64_t seed = 0;
+  std::uint64_t fail_percent = 100;
+  std::uint64_t loss_percent = 0;
+  bool idempotent = true;
+};
+
+struct ChainResult {
+  std::uint32_t attempts = 0;
+  bool complete = false;
+  // Runs of a step of the action that had run, or may have run, before.
+  int doubled = 0;
+};
+
+// A chain of services. One node serves all of them: the decisions do not depend on where they are
+// made, and the messages still pass through a queue.
+class Chain : ExecutionSender, InstanceChooser, DispatchObserver {
+ public:
+  explicit Chain(const ChainPlan& plan) : plan(plan), random(plan.seed) {
+    // The retry ratio must not hide what the budgets do.
+    for (int i = 0; i < 100'000; ++i) {
+      this->ratio.OnFirstAttempt();
+    }
+  }
+  ~Chain() override { this->runs.clear(); }
+
+  // Sends one action as a caller that never gives up.
+  ChainResult Act(std::uint32_t attempts) {
+    ActionKey key = this->mint.Mint();
+    const ActionTerms terms{.idempotent = this->plan.idempotent,
+                            .attempts = attempts,
+                            .caller_tries = kCallerTries,
+                            .cost = CostOf(1)};
+    for (int i = 0; i < 2 * static_cast<int>(kCallerTries) && !this->result.complete; ++i) {
+      RecordingWaiter waiter;
+      const BeginResult begin = this->ledger.Begin(key, terms, waiter);
+      if (begin.verdict == BeginVerdict::kStart) {
+        this->root = begin.entry.get();
+        this->Dispatch(begin.entry, 1, "root");
+        while (waiter.results.empty()) {
+          this->Step();
+        }
+        this->result.complete = waiter.results[0].response != nullptr;
+        key = waiter.results[0].successor.value_or(key);
+      }
+    }
+    // Whatever is still in progress may cause attempts, too.
+    for (int i = 0; i < 100; ++i) {
+      this->Step();
+    }
+    return this->result;
+  }
+
+ private:
+  // One request at one upstream.
+  struct Run : LedgerWaiter {
+    Run(Chain& chain, Ref<ExecutionContext> context, const wire::ExecuteRequest& request)
+        : chain(chain),
+          context(std::move(context)),
+          key(request.key()),
+          path(request.action()),
+          depth(std::stoi(request.kind())) {}
+    void OnFinished(LedgerEntry& /*entry*/, const ActionResult& result) override {
+      // Called while a message is handled; the upstream acts on it later.
+      this->chain.queue.emplace_back(
+          [this, ok = result.response != nullptr] { this->chain.OnInner(*this, ok); });
+    }
+
+    Chain& chain;
+    Ref<ExecutionContext> context;
+    wire::ExecutionKey key;
+    // Names the step within the action: the children taken from the root.
+    std::string path;
+    int depth;
+    int child = 0;
+    int tries = 0;
+  };
+
+  void Step() {
+    if (this->queue.empty()) {
+      this->clock.Advance(milliseconds(20));
+      return;
+    }
+    const std::function<void()> call = std::move(this->queue.front());
+    this->queue.pop_front();
+    call();
+  }
+
+  void Dispatch(Ref<LedgerEntry> entry, int depth, const std::string& path) {
+    DispatchOrder order;
+    order.action = path;
+    order.kind = std::to_string(depth);
+    order.deadline = this->clock.Now() + seconds(2);
+    order.expected_time = milliseconds(1);
+    this->dispatcher.Dispatch(std::move(entry), std::move(order));
+  }
+
+  std::optional<ExecutionTarget> Choose(std::string_view /*service*/,
+                                        std::span<const std::string> exclude,
+                                        Priority /*priority*/) override {
+    return ExecutionTarget{{std::to_string(exclude.size()), 77}, 1};
+  }
+  void SendCancel(const InstanceId& /*executor*/, const wire::CancelRequest& request) override {
+    this->queue.emplace_back([this, key = request.key()] { this->table.Cancel(key); });
+  }
+  void SendExecute(const InstanceId& executor, const wire::ExecuteRequest& request) override {
+    this->queue.emplace_back([this, executor, request] { this->OnExecute(executor, request); });
+  }
+  void OnDispatched(LedgerEntry& entry,
+                    const ActionResult& result,
+                    std::uint32_t /*attempts_used*/) override {
+    if (&entry == this->root) {
+      this->ledger.Finish(entry, result);
+    } else {
+      this->inner.Finish(entry, result);
+    }
+  }
+
+  void OnExecute(const InstanceId& executor, const wire::ExecuteRequest& request) {
+    if (this->table.Accept(request.key()).verdict != AcceptVerdict::kNew) {
+      return;
+    }
+    const Ref<ExecutionContext> context = this->inner.Open({.attempts = request.attempts(),
+                                                            .priority = {},
+                                                            .deadline = {},
+                                                            .action = {},
+                                                            .traceparent = {}});
+    ASSERT_TRUE(context->Budget().Spend(1));
+    ++this->result.attempts;
+    this->result.doubled += ++this->runs_of_step[request.action()] > 1 ? 1 : 0;
+    Run& run = this->runs.emplace_back(*this, context, request);
+    this->executors[request.key().sequence()] = executor;
+    this->Continue(run);
+  }
+
+  // Makes the next inner call of an upstream, or ends it.
+  void Continue(Run& run) {
+    if (run.child == FanOut(run.depth)) {
+      this->EndRun(run, this->random.Below(100) >= this->plan.fail_percent);
+      return;
+    }
+    const InnerCall call{.service = "s",
+                         .kind = std::to_string(run.depth + 1),
+                         .step = std::to_string(run.child),
+                         .idempotent = this->plan.idempotent,
+                         .cost = CostOf(run.depth + 1)};
+    const BeginResult begin = this->inner.BeginInner(run.context->Token(), call, run);
+    if (begin.verdict == BeginVerdict::kStart) {
+      this->Dispatch(begin.entry, run.depth + 1, run.path + "/" + call.step);
+    } else {
+      this->OnInner(run, begin.verdict == BeginVerdict::kReplay);
+    }
+  }
+
+  void OnInner(Run& run, bool ok) {
+    // The upstream repeats a failed inner call, as a careless one does.
+    if (ok) {
+      ++run.child;
+      run.tries = 0;
+    } else if (++run.tries == kTriesPerHop) {
+      this->EndRun(run, false);
+      return;
+    }
+    this->Continue(run);
+  }
+
+  void EndRun(Run& run, bool ok) {
+    const ContextSummary summary = this->inner.Close(*run.context);
+    wire::ExecuteReply reply;
+    *reply.mutable_key() = run.key;
+    reply.set_attempts_used(summary.attempts_used);
+    if (ok) {
+      reply.mutable_response()->set_status(200);
+    } else {
+      // Refusals and unknown outcomes alike.
+      constexpr std::array kErrors = {ErrorKind::kUpstreamShed, ErrorKind::kUpstreamBroken,
+                                      ErrorKind::kOverloaded};
+      ErrorKind error = kErrors[this->random.Below(kErrors.size())];
+      if (IsNotRun(error) && summary.inner_may_have_run) {
+        error = ErrorKind::kUpstreamBroken;
+      }
+      this->runs_of_step[run.path] -= IsNotRun(error) ? 1 : 0;
+      reply.set_error(static_cast<std::uint32_t>(error));
+    }
+    const InstanceId from = this->executors[run.key.sequence()];
+    this->runs.remove_if([&run](const Run& other) { return &other == &run; });
+    if (this->random.Below(100) >= this->plan.loss_percent) {
+      this->queue.emplace_back([this, from, reply] { this->dispatcher.OnReply(from, reply); });
+    }
+  }
+
+  const ChainPlan plan;
+  SeededRandom random;
+  FakeClock clock;
+  KeyMint mint{{"home", 77}, clock, random};
+  ActionLedger ledger{{}, mint, clock};
+  InnerCallTable inner{random};
+  ExecutionTable table{{}, 77, mint.Epochs(), clock};
+  RetryRatio ratio{clock};
+  HomeDispatcher dispatcher{{.max_retries = 3}, 77, clock, clock, *this, *this, ratio, *this};
+  std::list<Run> runs;
+  std::map<std::uint64_t, InstanceId> executors;
+  std::map<std::string, int> runs_of_step;
+  const LedgerEntry* root = nullptr;
+  std::deque<std::function<void()>> queue;
+  ChainResult result;
+};
+
+// Attempts of a chain in which each hop sends a failed call again and nothing else bounds them.
+std::uint64_t NaiveAttempts(int depth) {
+  std::uint64_t attempts = 1;
+  for (int i = 0; depth < kDepth && i < kTriesPerHop; ++i) {
+    attempts += NaiveAttempts(depth + 1);
+  }
+  return attempts;
+}
+
+// Guards against retries that multiply from hop to hop: 15 services, fan-out, repetitions by each
+// upstream, retries by each home and 10 tries by the caller share one number of attempts.
+TEST(AttemptBoundTest, AttemptsStayWithinTheBound) {
+  const std::uint32_t bound = 2 * CostOf(1);
+  std::uint32_t most = 0;
+  int complete = 0;
+  for (const bool idempotent : {true, false}) {
+    for (const std::uint64_t fail_percent : {100, 50, 10, 1}) {
+      for (const std::uint64_t loss_percent : {0, 10}) {
+        for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+          Chain chain({.seed = seed,
+                       .fail_percent = fail_percent,
+                       .loss_percent = loss_percent,
+                       .idempotent = idempotent});
+          const ChainResult result = chain.Act(bound);
+          EXPECT_LE(result.attempts, bound);
+          // A step that may have run is not repeated in a chain of non-idempotent kinds.
+          EXPECT_TRUE(idempotent || result.doubled == 0) << "seed " << seed;
+          most = std::max(most, result.attempts);
+          complete += result.complete ? 1 : 0;
+        }
+      }
+    }
+  }
+  std::printf("ours: cost=%u bound=%u most attempts of one action=%u, complete %d of 800\n",
+              CostOf(1), bound, most, complete);
+  EXPECT_GT(complete, 0);
+}
+
+// Shows what the bound prevents.
+TEST(AttemptBoundTest, NaiveRetriesMultiply) {
+  const std::uint64_t attempts = NaiveAttempts(1);
+  std::printf("naive: attempts of one caller try=%llu\n",
+              static_cast<unsigned long long>(attempts));
+  EXPECT_GT(attempts, 1'000U * CostOf(1));
+}
+
+}  // namespace
+}  // namespace masticpin
