--- a/masticpin/execution/execution_table_settings.h
+++ b/masticpin/execution/execution_table_settings.h
@@ -5,7 +5,8 @@
 
 namespace masticpin {
 
-/// Bounds of an ExecutionTable.
+/// Bounds of an ExecutionTable. A key takes 72 bytes of heap without its reply and 8 bytes in the
+/// hash table: 10.5 MB when full.
 struct ExecutionTableSettings {
   // Two epochs at 1,000 executions a second, as for the ledger.
   std::size_t capacity = 131'072;
--- a/masticpin/execution/ledger_settings.h
+++ b/masticpin/execution/ledger_settings.h
@@ -5,7 +5,9 @@
 
 namespace masticpin {
 
-/// Bounds of an ActionLedger.
+/// Bounds of an ActionLedger. An entry takes 144 bytes of heap without its response and 8 bytes in
+/// the hash table, so that a full ledger takes 20 MB plus the stored responses; at the average of
+/// the target size (87 calls a second and node, 120 s) 10,400 entries take 1.5 MB.
 struct LedgerSettings {
   // 120 s, the longest life of a key, at 1,000 keyed actions a second and node, which is more than
   // ten times the average at the target size (1.3 million calls/s over 15,000 nodes).
