Check all addresses before masticpinctl status asks the first node

A wrong last address ended the command with a usage error and discarded the responses of the nodes before it. The addresses are now checked first.

--- a/ctl/control_program.cc
+++ b/ctl/control_program.cc
@@ -1,6 +1,7 @@
 #include "ctl/control_program.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <cstring>
 #include <fstream>
 #include <nlohmann/json.hpp>
@@ -170,19 +171,22 @@
 }
 
 int ControlProgram::Status(const std::vector<std::string>& addresses) {
+  // A slip in the last address must not discard what the other nodes answered.
+  for (const std::string& text : addresses) {
+    if (!SocketAddress::Parse(text)) {
+      return this->UsageError("\"" + text + "\" is not an IP address and a port");
+    }
+  }
   const NodeClient client(this->options.timeout);
   int exit_status = kExitOk;
   Json list = Json::array();
   std::vector<std::vector<std::string>> rows = {{"address"}};
   for (const std::string& text : addresses) {
-    const std::optional<SocketAddress> address = SocketAddress::Parse(text);
-    if (!address) {
-      return this->UsageError("\"" + text + "\" is not an IP address and a port");
-    }
+    const SocketAddress address = *SocketAddress::Parse(text);
     // One node that fails does not hide the others.
     std::string error;
     Json status;
-    const std::optional<NodeResponse> response = client.Get(*address, "/_masticpin/status", error);
+    const std::optional<NodeResponse> response = client.Get(address, "/_masticpin/status", error);
     if (!response) {
       exit_status = kExitUsage;
     } else {
