Keep a slow deep service from lowering the limits above it

The limiter of the ballot service counted the wait for inner calls as its own latency, and counted an execution that ended because dues refused as shed by its own upstream. Such a refusal was also retried at a sibling instance. Change: the time in inner calls is subtracted, a refusal caused by an inner call is an error kind of its own (inner_call_refused, not retried elsewhere), and a request is refused before it starts when no instance of a service that it needs admits its priority.

--- a/masticpin/error/answer_table.cc
+++ b/masticpin/error/answer_table.cc
@@ -64,6 +64,8 @@
     {K::kCancelled, "cancelled", "The request was cancelled while it ran.", 499, kUnknown, kNever,
      false},
     {K::kInternal, "internal", "The node failed.", 500, kUnknown, kIfIdempotent, false},
+    {K::kInnerCallRefused, "inner_call_refused", "A service that the request needs refused it.",
+     503, kNotRun, kAfterDelay, false},
 }};
 
 }  // namespace
--- a/masticpin/error/error_kind.h
+++ b/masticpin/error/error_kind.h
@@ -31,10 +31,11 @@
   kPeerLost = 22,
   kCancelled = 23,
   kInternal = 24,
+  kInnerCallRefused = 25,
 };
 
 /// Number of the last kind.
-inline constexpr int kLastErrorKind = static_cast<int>(ErrorKind::kInternal);
+inline constexpr int kLastErrorKind = static_cast<int>(ErrorKind::kInnerCallRefused);
 
 /// Returns the kind for a number that another node sent; kInternal for a number that is not in the
 /// list, because nothing is known about the outcome then.
--- a/masticpin/execution/execution_context.h
+++ b/masticpin/execution/execution_context.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <boost/intrusive/list.hpp>
 #include <cstdint>
 #include <map>
@@ -39,6 +40,29 @@
   AttemptBudget& Budget() { return this->budget; }
   bool Open() const { return this->open; }
 
+  /// An inner call begins or ends. The time in which at least one runs is not the upstream's own.
+  void OnInnerBegan(TimePoint now) {
+    if (this->inner_running++ == 0) {
+      this->inner_since = now;
+    }
+  }
+  void OnInnerEnded(TimePoint now) {
+    if (--this->inner_running == 0) {
+      this->inner_time += now - this->inner_since;
+    }
+  }
+
+  /// Time spent in inner calls that have ended.
+  Duration InnerTime() const { return this->inner_time; }
+
+  /// An inner call was refused; `retry_after` is the delay that its refusal named.
+  void OnInnerRefused(Duration retry_after) {
+    this->inner_refused = true;
+    this->inner_retry_after = std::max(this->inner_retry_after, retry_after);
+  }
+  bool InnerRefused() const { return this->inner_refused; }
+  Duration InnerRetryAfter() const { return this->inner_retry_after; }
+
  private:
   friend class InnerCallTable;
 
@@ -51,6 +75,11 @@
   // Entries of the non-idempotent inner calls; a handful for each execution.
   std::map<InnerKey, Ref<LedgerEntry>> inner;
   bool open = true;
+  std::uint32_t inner_running = 0;
+  TimePoint inner_since{};
+  Duration inner_time{};
+  bool inner_refused = false;
+  Duration inner_retry_after{};
 };
 
 }  // namespace masticpin
--- a/net/executor.cc
+++ b/net/executor.cc
@@ -13,6 +13,10 @@
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
+/// Retry-after of a refusal that is based on thresholds of other instances. They are valid for
+/// 250 ms; another 250 ms spread the callers beyond the next report.
+constexpr Duration kInnerRetryAfter = milliseconds(500);
+
 void AddHeader(wire::HttpRequest& request, const char* name, const std::string& value) {
   wire::Header* header = request.add_headers();
   header->set_name(name);
@@ -52,6 +56,7 @@
                    InnerCallTable& inner_calls,
                    UpstreamClient& upstream,
                    WorkerPool& workers,
+                   InstanceRouter& router,
                    ReplySender& replies,
                    NodeMetrics& metrics)
     : core(core),
@@ -61,6 +66,7 @@
       inner_calls(inner_calls),
       upstream(upstream),
       workers(workers),
+      router(router),
       replies(replies),
       metrics(metrics) {}
 
@@ -91,11 +97,8 @@
   const KindSpec* kind = this->manifest == nullptr
                              ? nullptr
                              : this->manifest->FindKind(request.service(), request.kind());
-  if (kind == nullptr || request.attempts() == 0) {
-    const ErrorKind error = this->manifest == nullptr ? ErrorKind::kNoConfiguration
-                            : kind == nullptr         ? ErrorKind::kNotFound
-                                                      : ErrorKind::kAttemptsExhausted;
-    this->FinishWithError(*job, error, Duration::zero());
+  if (const auto error = this->Check(kind, request); error.has_value()) {
+    this->FinishWithError(*job, *error, Duration::zero());
     return;
   }
 
@@ -110,9 +113,31 @@
       request.remaining_us(),
       static_cast<std::uint64_t>(duration_cast<microseconds>(kind->deadline).count())));
   job->deadline = job->arrived + remaining;
+  if (!this->InnerCallsAdmitted(*kind, job->priority)) {
+    this->FinishWithError(*job, ErrorKind::kInnerCallRefused, kInnerRetryAfter);
+    return;
+  }
   this->admission.Offer(*job);
 }
 
+std::optional<ErrorKind> Executor::Check(const KindSpec* kind,
+                                         const wire::ExecuteRequest& request) const {
+  if (this->manifest == nullptr) {
+    return ErrorKind::kNoConfiguration;
+  }
+  if (kind == nullptr) {
+    return ErrorKind::kNotFound;
+  }
+  return request.attempts() < kind->cost ? std::optional(ErrorKind::kAttemptsExhausted)
+                                         : std::nullopt;
+}
+
+bool Executor::InnerCallsAdmitted(const KindSpec& kind, Priority priority) {
+  return std::all_of(kind.calls.begin(), kind.calls.end(), [&](const KindRef& call) {
+    return this->router.Admits(call.service, priority);
+  });
+}
+
 void Executor::Cancel(const wire::ExecutionKey& key) {
   if (this->table.Cancel(key) != CancelVerdict::kRunning) {
     return;
@@ -187,7 +212,14 @@
                       Duration service_time,
                       wire::ExecuteReply reply) {
   const ContextSummary summary = this->inner_calls.Close(context);
-  const Completion completion = CompletionOf(reply.error());
+  Completion completion = CompletionOf(reply.error());
+  // The upstream gave up because another service refused: this says nothing about the upstream.
+  if (completion == Completion::kShed && context.InnerRefused()) {
+    completion = Completion::kCancelled;
+    reply.set_error(static_cast<std::uint32_t>(ErrorKind::kInnerCallRefused));
+    reply.set_retry_after_ms(
+        static_cast<std::uint64_t>(duration_cast<milliseconds>(context.InnerRetryAfter()).count()));
+  }
   // A repetition of this execution would repeat the inner call, so the upstream's "not run" cannot
   // be passed on.
   if (reply.error() != 0 && IsNotRun(static_cast<ErrorKind>(reply.error())) &&
@@ -195,9 +227,10 @@
     reply.set_error(static_cast<std::uint32_t>(ErrorKind::kUpstreamBroken));
   }
   reply.set_attempts_used(summary.attempts_used);
-  this->metrics.service_time.Record(service_time);
+  const Duration own_time = service_time - context.InnerTime();
+  this->metrics.service_time.Record(own_time);
   const Ref<ExecutionJob> keep(&job);
-  this->admission.Complete(job, completion, service_time);
+  this->admission.Complete(job, completion, own_time);
   this->Finish(job, std::move(reply));
 }
 
--- a/net/executor.h
+++ b/net/executor.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <unordered_map>
 
 #include "masticpin/admission/admission_controller.h"
@@ -8,6 +9,7 @@
 #include "masticpin/execution/inner_call_table.h"
 #include "masticpin/manifest/manifest.h"
 #include "net/execution_job.h"
+#include "net/instance_router.h"
 #include "net/node_core.h"
 #include "net/node_metrics.h"
 #include "net/reply_sender.h"
@@ -29,6 +31,7 @@
            InnerCallTable& inner_calls,
            UpstreamClient& upstream,
            WorkerPool& workers,
+           InstanceRouter& router,
            ReplySender& replies,
            NodeMetrics& metrics);
 
@@ -64,6 +67,9 @@
     return {key.home_incarnation(), key.sequence()};
   }
 
+  /// Why the request cannot run, before it asks for admission.
+  std::optional<ErrorKind> Check(const KindSpec* kind, const wire::ExecuteRequest& request) const;
+  bool InnerCallsAdmitted(const KindSpec& kind, Priority priority);
   void OnAdmitted(ExecutionJob& job);
   void OnRefused(ExecutionJob& job, ErrorKind kind, Duration retry_after);
   /// Runs on a worker thread, outside of a section.
@@ -85,6 +91,7 @@
   InnerCallTable& inner_calls;
   UpstreamClient& upstream;
   WorkerPool& workers;
+  InstanceRouter& router;
   ReplySender& replies;
   NodeMetrics& metrics;
   Ref<const Manifest> manifest;
--- a/net/home.cc
+++ b/net/home.cc
@@ -160,12 +160,27 @@
   call.step = request.step;
   call.idempotent = kind->idempotent;
   call.cost = kind->cost;
+  context->OnInnerBegan(this->clock.Now());
+  CallerResponse response = this->RunInner(section, *context, *kind, call, request, deadline);
+  context->OnInnerEnded(this->clock.Now());
+  if (response.error.has_value() && IsNotRun(*response.error)) {
+    context->OnInnerRefused(response.retry_after);
+  }
+  return response;
+}
+
+CallerResponse Home::RunInner(NodeCore::Section& section,
+                              const ExecutionContext& context,
+                              const KindSpec& kind,
+                              const InnerCall& call,
+                              const CallerRequest& request,
+                              TimePoint deadline) {
   CallerWait wait;
   const BeginResult begun = this->inner_calls.BeginInner(request.context, call, wait);
   if (begun.verdict == BeginVerdict::kStart) {
-    DispatchOrder order = this->MakeOrder(*kind, context->Terms().priority, deadline, request.http);
-    order.action = context->Terms().action;
-    order.traceparent = context->Terms().traceparent;
+    DispatchOrder order = this->MakeOrder(kind, context.Terms().priority, deadline, request.http);
+    order.action = context.Terms().action;
+    order.traceparent = context.Terms().traceparent;
     this->dispatcher->Dispatch(begun.entry, std::move(order));
   } else if (begun.verdict != BeginVerdict::kJoined) {
     return this->ResponseOf(begun);
--- a/net/home.h
+++ b/net/home.h
@@ -64,6 +64,12 @@
   /// Waits until decisions may be made, which a pause of the process delays by up to 250 ms.
   bool WaitUntilReady(NodeCore::Section& section);
   CallerResponse HandleInner(NodeCore::Section& section, const CallerRequest& request);
+  CallerResponse RunInner(NodeCore::Section& section,
+                          const ExecutionContext& context,
+                          const KindSpec& kind,
+                          const InnerCall& call,
+                          const CallerRequest& request,
+                          TimePoint deadline);
   CallerResponse HandleRoot(NodeCore::Section& section,
                             const CallerRequest& request,
                             const KindSpec& kind);
--- a/net/instance_router.cc
+++ b/net/instance_router.cc
@@ -23,4 +23,12 @@
   return ExecutionTarget{member->id, member->epoch};
 }
 
+bool InstanceRouter::Admits(std::string_view service, Priority priority) {
+  SelectionRequest request;
+  request.service = service;
+  request.priority = priority;
+  const Ref<const Member> member = this->fleet.Selector().Select(request);
+  return member == nullptr || this->fleet.Thresholds().ShouldSend(member->id.incarnation, priority);
+}
+
 }  // namespace masticpin
--- a/net/instance_router.h
+++ b/net/instance_router.h
@@ -16,6 +16,10 @@
                                         std::span<const std::string> exclude,
                                         Priority priority) override;
 
+  /// Whether a request of `priority` that needs `service` can succeed, as far as is known. One in
+  /// sixteen doubtful requests counts as admitted, so that old knowledge cannot persist.
+  bool Admits(std::string_view service, Priority priority);
+
  private:
   FleetState& fleet;
   std::vector<InstanceId> excluded;
--- a/net/node.cc
+++ b/net/node.cc
@@ -471,9 +471,9 @@
     this->admission =
         std::make_unique<AdmissionController>(settings, this->clock, this->timers, this->random);
     ReplySender& replies = *this;
-    this->executor = std::make_unique<Executor>(this->core, this->clock, this->executions,
-                                                *this->admission, this->inner_calls, this->upstream,
-                                                this->workers, replies, this->metrics);
+    this->executor = std::make_unique<Executor>(
+        this->core, this->clock, this->executions, *this->admission, this->inner_calls,
+        this->upstream, this->workers, this->router, replies, this->metrics);
     if (this->draining) {
       this->executor->Drain();
     }
