--- a/masticpin/routing/instance_selector.cc
+++ b/masticpin/routing/instance_selector.cc
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <cassert>
 #include <limits>
-#include <ranges>
 #include <utility>
 
 namespace masticpin {
@@ -34,9 +33,7 @@
   // Leave the subset only when it has no instance that works; an overloaded subset is no reason,
   // because a surge would then open connections to the whole service.
   if (choice.tier >= Tier::kNoLimit && service.subset.size() < service.instances.size()) {
-    const auto all =
-        std::views::iota(std::uint32_t{0}, static_cast<std::uint32_t>(service.instances.size()));
-    const Choice other = this->ChooseFrom(service, all, request, now);
+    const Choice other = this->ChooseFrom(service, {}, request, now);
     if (other.tier < choice.tier) {
       choice = other;
     }
@@ -44,9 +41,8 @@
   return choice.instance == nullptr ? nullptr : choice.instance->member;
 }
 
-template <typename Positions>
 InstanceSelector::Choice InstanceSelector::ChooseFrom(const Service& service,
-                                                      const Positions& positions,
+                                                      std::span<const std::uint32_t> subset,
                                                       const SelectionRequest& request,
                                                       TimePoint now) {
   // Collect the candidates of the best tier and the means of all fresh reports.
@@ -56,8 +52,9 @@
   double utilisation = 0;
   double limit = 0;
   this->candidates.clear();
-  for (const std::uint32_t position : positions) {
-    const Instance& instance = service.instances[position];
+  const std::size_t count = subset.empty() ? service.instances.size() : subset.size();
+  for (std::size_t i = 0; i < count; ++i) {
+    const Instance& instance = service.instances[subset.empty() ? i : subset[i]];
     const double freshness = this->FreshnessOf(instance, now);
     if (freshness > 0 && instance.load.limit > 0) {
       weight += freshness;
--- a/masticpin/routing/instance_selector.h
+++ b/masticpin/routing/instance_selector.h
@@ -126,9 +126,9 @@
   double FreshnessOf(const Instance& instance, TimePoint now) const;
   double ShareOf(const Member& member, TimePoint now) const;
   double ScoreOf(const Candidate& candidate, const Means& means, TimePoint now) const;
-  template <typename Positions>
+  // Chooses among the positions of `subset`, or among all instances if it is empty.
   Choice ChooseFrom(const Service& service,
-                    const Positions& positions,
+                    std::span<const std::uint32_t> subset,
                     const SelectionRequest& request,
                     TimePoint now);
   std::size_t DrawCandidate(double total_share);
