Record metrics and a span for each hop in the node

Cause: nothing showed what a node decided, and a request held a pointer into a manifest that a newer version could free while it waited. Change: counters by result, latency histograms and gauges in the Prometheus text format; spans for ingress, inner call and execution in one trace, readable by trace id or action over HTTP; a request keeps a reference to its manifest.

--- a/masticpin/trace/span_store.cc
+++ b/masticpin/trace/span_store.cc
@@ -53,6 +53,17 @@
   return result;
 }
 
+bool Matches(const Span& span, std::string_view filter) {
+  // A value that was cut when it was recorded still matches.
+  const std::string_view value = filter.substr(0, Span::kMaxValueLength);
+  return ToHex(span.context.trace_id) == filter ||
+         std::any_of(span.attributes.begin(), span.attributes.end(),
+                     [value](const Span::Attribute& attribute) {
+                       return std::string_view(attribute.value.data(), attribute.value.size()) ==
+                              value;
+                     });
+}
+
 }  // namespace
 
 SpanStore::SpanStore(const SpanStoreSettings& settings) : slow(settings.slow) {
@@ -89,10 +100,14 @@
   return spans;
 }
 
-std::string SpanStore::ExportOtlpJson(std::string_view service, std::string_view instance) const {
+std::string SpanStore::ExportOtlpJson(std::string_view service,
+                                      std::string_view instance,
+                                      std::string_view filter) const {
   json spans = json::array();
   for (const Span& span : this->Snapshot()) {
-    spans.push_back(ToOtlp(span));
+    if (filter.empty() || Matches(span, filter)) {
+      spans.push_back(ToOtlp(span));
+    }
   }
   const json resource = {
       {"attributes", json::array({ToAttribute("service.name", service),
--- a/masticpin/trace/span_store.h
+++ b/masticpin/trace/span_store.h
@@ -23,8 +23,12 @@
   /// Returns copies of all spans, ordered by wall-clock start.
   std::vector<Span> Snapshot() const;
 
-  /// Returns all spans as one OTLP/JSON trace export request. The names describe this process.
-  std::string ExportOtlpJson(std::string_view service, std::string_view instance) const;
+  /// Returns the spans as one OTLP/JSON trace export request. The names describe this process.
+  /// Unless `filter` is empty, only spans with this trace id (hexadecimal) or with an attribute of
+  /// this value are returned.
+  std::string ExportOtlpJson(std::string_view service,
+                             std::string_view instance,
+                             std::string_view filter = {}) const;
 
   /// Number of spans that were overwritten.
   std::uint64_t Overwritten() const;
--- a/net/caller_handler.h
+++ b/net/caller_handler.h
@@ -13,7 +13,7 @@
   virtual ~CallerHandler() = default;
 
   /// Returns the response; waits for it on the calling thread.
-  virtual CallerResponse Handle(const CallerRequest& request) = 0;
+  virtual CallerResponse Handle(CallerRequest request) = 0;
 
   /// The node's whole state as JSON.
   virtual std::string StatusJson() = 0;
@@ -21,8 +21,8 @@
   /// Metrics in the Prometheus text format.
   virtual std::string MetricsText() = 0;
 
-  /// Recent spans as OTLP/JSON; only those of `trace_id` unless it is empty.
-  virtual std::string TracesJson(const std::string& trace_id) = 0;
+  /// Recent spans as OTLP/JSON; unless `filter` is empty, only those of this trace id or action.
+  virtual std::string TracesJson(const std::string& filter) = 0;
 
   /// Starts the graceful shutdown; returns at once.
   virtual void BeginDrain() = 0;
--- a/net/execution_job.h
+++ b/net/execution_job.h
@@ -7,6 +7,7 @@
 #include "masticpin/base/instance_id.h"
 #include "masticpin/base/ref_counted.h"
 #include "masticpin/execution/execution.pb.h"
+#include "masticpin/trace/span.h"
 #include "net/upstream_call.h"
 #include "net/work_item.h"
 
@@ -34,6 +35,7 @@
   wire::ExecuteRequest request;
   bool idempotent = false;
   TimePoint arrived{};
+  Span span;
   UpstreamCall call;
 };
 
--- a/net/executor.cc
+++ b/net/executor.cc
@@ -58,7 +58,8 @@
                    WorkerPool& workers,
                    InstanceRouter& router,
                    ReplySender& replies,
-                   NodeMetrics& metrics)
+                   NodeMetrics& metrics,
+                   Tracer& tracer)
     : core(core),
       clock(clock),
       table(table),
@@ -68,7 +69,8 @@
       workers(workers),
       router(router),
       replies(replies),
-      metrics(metrics) {}
+      metrics(metrics),
+      tracer(tracer) {}
 
 void Executor::Execute(const InstanceId& home, const wire::ExecuteRequest& request) {
   // A key is accepted at most once; everything after this point ends in one reply.
@@ -92,6 +94,10 @@
 
   const Ref<ExecutionJob> job(new ExecutionJob(*this, home, request));
   this->jobs.emplace(IdOf(request.key()), job);
+  job->span = this->tracer.Begin(request.service(), request.kind(), request.traceparent());
+  job->span.AddAttribute("hop", "execute");
+  job->span.AddAttribute("action", request.action());
+  job->span.decision = SpanDecision::kRefused;
 
   // Check the request against the manifest.
   const KindSpec* kind = this->manifest == nullptr
@@ -155,7 +161,11 @@
 }
 
 void Executor::OnAdmitted(ExecutionJob& job) {
-  this->metrics.wait.Record(this->clock.Now() - job.arrived);
+  const Duration wait = this->clock.Now() - job.arrived;
+  this->metrics.wait.Record(wait);
+  job.span.decision = SpanDecision::kAdmitted;
+  job.span.attempt = 1;
+  job.span.AddAttribute("wait_us", std::to_string(duration_cast<microseconds>(wait).count()));
   this->workers.Post(job);
 }
 
@@ -188,7 +198,7 @@
   terms.priority = job.priority;
   terms.deadline = job.deadline;
   terms.action = job.request.action();
-  terms.traceparent = job.request.traceparent();
+  terms.traceparent = job.span.context.Format();
   Ref<ExecutionContext> context = this->inner_calls.Open(std::move(terms));
   context->Budget().Spend(1);
   return context;
@@ -201,9 +211,7 @@
   AddHeader(request, kContextHeader, context.Token());
   AddHeader(request, kActionHeader, job.request.action());
   AddHeader(request, kDeadlineHeader, std::to_string(std::max<std::int64_t>(remaining.count(), 1)));
-  if (!job.request.traceparent().empty()) {
-    AddHeader(request, kTraceparentHeader, job.request.traceparent());
-  }
+  AddHeader(request, kTraceparentHeader, job.span.context.Format());
   return request;
 }
 
@@ -236,6 +244,8 @@
 
 void Executor::Finish(ExecutionJob& job, wire::ExecuteReply reply) {
   this->metrics.CountExecution(reply.error());
+  this->tracer.End(job.span, reply.error() == 0 ? std::nullopt
+                                                : std::optional(ErrorKindFromWire(reply.error())));
   const Ref<const StoredReply> stored(new StoredReply(std::move(reply)));
   this->table.Finish(job.request.key(), stored);
   this->replies.SendReply(job.home, stored->Message());
--- a/net/executor.h
+++ b/net/executor.h
@@ -13,6 +13,7 @@
 #include "net/node_core.h"
 #include "net/node_metrics.h"
 #include "net/reply_sender.h"
+#include "net/tracer.h"
 #include "net/upstream_client.h"
 #include "net/worker_pool.h"
 
@@ -33,7 +34,8 @@
            WorkerPool& workers,
            InstanceRouter& router,
            ReplySender& replies,
-           NodeMetrics& metrics);
+           NodeMetrics& metrics,
+           Tracer& tracer);
 
   /// Sets the manifest in force; executions are refused while there is none.
   void SetManifest(Ref<const Manifest> manifest) { this->manifest = std::move(manifest); }
@@ -94,6 +96,7 @@
   InstanceRouter& router;
   ReplySender& replies;
   NodeMetrics& metrics;
+  Tracer& tracer;
   Ref<const Manifest> manifest;
   std::unordered_map<JobId, Ref<ExecutionJob>, JobIdHash> jobs;
 };
--- a/net/home.cc
+++ b/net/home.cc
@@ -92,7 +92,8 @@
            InnerCallTable& inner_calls,
            FleetState& fleet,
            HomeChannel& channel,
-           NodeMetrics& metrics)
+           NodeMetrics& metrics,
+           Tracer& tracer)
     : core(core),
       clock(clock),
       mint(mint),
@@ -100,32 +101,57 @@
       inner_calls(inner_calls),
       fleet(fleet),
       channel(channel),
-      metrics(metrics) {}
+      metrics(metrics),
+      tracer(tracer) {}
 
 Home::~Home() = default;
 
-CallerResponse Home::Handle(const CallerRequest& request) {
+CallerResponse Home::Handle(CallerRequest request) {
   NodeCore::Section section(this->core);
   ++this->handling;
-  const TimePoint started = this->clock.Now();
+  Span span = this->BeginSpan(request);
   const bool ready = this->WaitUntilReady(section);
-  CallerResponse response;
-  const KindSpec* kind = nullptr;
+  CallerResponse response = this->Serve(section, request, ready);
+  --this->handling;
+
+  // Record what became of the request.
+  span.decision = response.error.has_value() && IsNotRun(*response.error)
+                      ? SpanDecision::kRefused
+                      : SpanDecision::kForwarded;
+  this->tracer.End(span, response.error);
+  this->metrics.CountCaller(response.error);
+  this->metrics.caller_time.Record(span.Length());
+  return response;
+}
+
+Span Home::BeginSpan(CallerRequest& request) {
+  // A call of the own upstream belongs to the trace of the execution that makes it.
+  const Ref<ExecutionContext> context = this->inner_calls.Find(request.context);
+  Span span =
+      this->tracer.Begin(request.service, request.kind,
+                         context == nullptr ? request.traceparent : context->Terms().traceparent);
+  span.AddAttribute("hop", context == nullptr ? "ingress" : "inner");
+  span.AddAttribute("action", context == nullptr ? request.key : context->Terms().action);
+  request.traceparent = span.context.Format();
+  return span;
+}
+
+CallerResponse Home::Serve(NodeCore::Section& section, const CallerRequest& request, bool ready) {
   if (!request.context.empty()) {
-    response = this->HandleInner(section, request);
-  } else if (!ready || this->manifest == nullptr) {
+    return this->HandleInner(section, request);
+  }
+  if (!ready || this->manifest == nullptr) {
     // Only the home of a key can say that its action was not run.
-    response = this->ErrorResponse(request.key.empty() ? ErrorKind::kNoConfiguration
-                                                       : ErrorKind::kPeerLost);
-  } else if (kind = this->manifest->FindKind(request.service, request.kind); kind == nullptr) {
-    response = this->ErrorResponse(ErrorKind::kNotFound);
-  } else {
-    response = this->HandleRoot(section, request, *kind);
+    return this->ErrorResponse(request.key.empty() ? ErrorKind::kNoConfiguration
+                                                   : ErrorKind::kPeerLost);
   }
-  this->metrics.CountCaller(response.error);
-  this->metrics.caller_time.Record(this->clock.Now() - started);
-  --this->handling;
-  return response;
+  // The reference keeps the kind alive while this thread waits and a newer manifest comes.
+  const Ref<const Manifest> present = this->manifest;
+  const KindSpec* kind = present->FindKind(request.service, request.kind);
+  if (kind == nullptr) {
+    return this->ErrorResponse(ErrorKind::kNotFound);
+  }
+  return this->HandleRoot(section, request, *kind);
 }
 
 bool Home::WaitUntilReady(NodeCore::Section& section) {
@@ -180,7 +206,7 @@
   if (begun.verdict == BeginVerdict::kStart) {
     DispatchOrder order = this->MakeOrder(kind, context.Terms().priority, deadline, request.http);
     order.action = context.Terms().action;
-    order.traceparent = context.Terms().traceparent;
+    order.traceparent = request.traceparent;
     this->dispatcher->Dispatch(begun.entry, std::move(order));
   } else if (begun.verdict != BeginVerdict::kJoined) {
     return this->ResponseOf(begun);
@@ -343,7 +369,7 @@
 void Home::OnHomeReply(const wire::HomeReply& reply) {
   const auto found = this->forwards.find(reply.call_id());
   if (found == this->forwards.end()) {
-    ++this->metrics.dropped_replies;
+    this->metrics.dropped_replies.Increment();
     return;
   }
   found->second->reply = reply;
@@ -358,7 +384,7 @@
 void Home::OnDispatched(LedgerEntry& entry,
                         const ActionResult& result,
                         std::uint32_t attempts_used) {
-  this->metrics.attempts += attempts_used;
+  this->metrics.attempts.Increment(attempts_used);
   if (entry.IsInner()) {
     this->inner_calls.Finish(entry, result);
   } else {
--- a/net/home.h
+++ b/net/home.h
@@ -16,6 +16,7 @@
 #include "net/home_channel.h"
 #include "net/node_core.h"
 #include "net/node_metrics.h"
+#include "net/tracer.h"
 
 namespace masticpin {
 
@@ -32,7 +33,8 @@
        InnerCallTable& inner_calls,
        FleetState& fleet,
        HomeChannel& channel,
-       NodeMetrics& metrics);
+       NodeMetrics& metrics,
+       Tracer& tracer);
   ~Home() override;
 
   /// Must be called once before the first request.
@@ -40,7 +42,7 @@
   void SetManifest(Ref<const Manifest> manifest) { this->manifest = std::move(manifest); }
 
   /// Serves one request and returns its response.
-  CallerResponse Handle(const CallerRequest& request);
+  CallerResponse Handle(CallerRequest request);
 
   /// Another node passes a request on whose key was issued here.
   void OnHomeRequest(const InstanceId& ingress, const wire::HomeRequest& request);
@@ -61,6 +63,8 @@
   class ForwardedWait;
   struct PendingForward;
 
+  Span BeginSpan(CallerRequest& request);
+  CallerResponse Serve(NodeCore::Section& section, const CallerRequest& request, bool ready);
   /// Waits until decisions may be made, which a pause of the process delays by up to 250 ms.
   bool WaitUntilReady(NodeCore::Section& section);
   CallerResponse HandleInner(NodeCore::Section& section, const CallerRequest& request);
@@ -109,6 +113,7 @@
   FleetState& fleet;
   HomeChannel& channel;
   NodeMetrics& metrics;
+  Tracer& tracer;
   HomeDispatcher* dispatcher = nullptr;
   Ref<const Manifest> manifest;
   std::unordered_map<std::uint64_t, PendingForward*> forwards;
--- a/net/http_front.cc
+++ b/net/http_front.cc
@@ -168,7 +168,7 @@
     response.set_content(this->handler.MetricsText(), "text/plain; version=0.0.4");
   });
   this->server.Get("/_masticpin/traces", [this](const auto& request, auto& response) {
-    response.set_content(this->handler.TracesJson(request.get_param_value("trace")), kJson);
+    response.set_content(this->handler.TracesJson(request.get_param_value("filter")), kJson);
   });
   this->server.Post("/_masticpin/drain", [this](const auto&, auto& response) {
     this->handler.BeginDrain();
@@ -207,7 +207,7 @@
     WriteProblem(ErrorKind::kMalformedRequest, response);
     return;
   }
-  WriteCaller(this->handler.Handle(caller), response);
+  WriteCaller(this->handler.Handle(std::move(caller)), response);
 }
 
 }  // namespace masticpin
--- a/net/node.cc
+++ b/net/node.cc
@@ -55,6 +55,7 @@
 Node::Node(const NodeSettings& settings, const NodeOptions& options)
     : settings(settings),
       options(options),
+      tracer(this->clock, this->random),
       timers(this->core, this->clock),
       platform(this->core, settings.platform_address),
       mint({settings.name, this->random.Next()}, this->clock, this->random),
@@ -83,7 +84,8 @@
            this->inner_calls,
            this->fleet,
            *this,
-           this->metrics),
+           this->metrics,
+           this->tracer),
       dispatcher(DispatchSettings(),
                  this->mint.Self().incarnation,
                  this->clock,
@@ -153,8 +155,8 @@
   spdlog::info("event=node_stopped instance={}", this->settings.name);
 }
 
-CallerResponse Node::Handle(const CallerRequest& request) {
-  return this->home.Handle(request);
+CallerResponse Node::Handle(CallerRequest request) {
+  return this->home.Handle(std::move(request));
 }
 
 std::string Node::StatusJson() {
@@ -213,30 +215,23 @@
 }
 
 std::string Node::MetricsText() {
-  std::string text;
-  const auto add = [&text](const std::string& name, const std::string& labels,
-                           std::uint64_t value) {
-    text += "masticpin_" + name + labels + " " + std::to_string(value) + "\n";
-  };
-  const auto add_results = [&add](const std::string& name, const NodeMetrics::ByResult& counts) {
-    add(name, "{result=\"complete\"}", counts[0]);
-    for (int i = 1; i <= kLastErrorKind; ++i) {
-      const std::string kind(GetAnswer(static_cast<ErrorKind>(i)).name);
-      add(name, "{result=\"" + kind + "\"}", counts[static_cast<std::size_t>(i)]);
-    }
-  };
-  add_results("caller_responses_total", this->metrics.callers);
-  add_results("executions_total", this->metrics.executions);
-  add("attempts_total", "", this->metrics.attempts);
-  add("dropped_replies_total", "", this->metrics.dropped_replies);
-  add("malformed_messages_total", "", this->metrics.malformed_messages);
-  add("send_failures_total", "", this->metrics.send_failures);
-  return text;
+  {
+    // Gauges are read when they are asked for.
+    const NodeCore::Section section(this->core);
+    const LoadReport report =
+        this->admission == nullptr ? LoadReport() : this->admission->GetLoad();
+    this->metrics.limit.Set(report.limit);
+    this->metrics.in_flight.Set(report.in_flight);
+    this->metrics.queued.Set(report.queued);
+    this->metrics.configuration_version.Set(
+        static_cast<std::int64_t>(this->fleet.Documents().VersionOf(this->settings.document)));
+    this->metrics.members.Set(static_cast<std::int64_t>(this->fleet.Members().Members().size()));
+  }
+  return this->metrics.WriteText();
 }
 
-std::string Node::TracesJson(const std::string& trace_id) {
-  (void)trace_id;
-  return "{\"resourceSpans\":[]}";
+std::string Node::TracesJson(const std::string& filter) {
+  return this->tracer.Store().ExportOtlpJson(this->settings.service, this->settings.name, filter);
 }
 
 void Node::BeginDrain() {
@@ -291,7 +286,7 @@
   }
   const Ref<const Member> member = this->fleet.Members().Find(to.name);
   if (member == nullptr) {
-    ++this->metrics.send_failures;
+    this->metrics.send_failures.Increment();
     return;
   }
   this->transport->Send(member->peer_endpoint, std::move(envelope));
@@ -325,7 +320,7 @@
       }
       break;
     default:
-      ++this->metrics.malformed_messages;
+      this->metrics.malformed_messages.Increment();
       break;
   }
 }
@@ -355,7 +350,7 @@
 void Node::OnEnvelope(const wire::Envelope& envelope) {
   const NodeCore::Section section(this->core);
   if (!envelope.has_sender() || envelope.sender().name() == this->settings.name) {
-    ++this->metrics.malformed_messages;
+    this->metrics.malformed_messages.Increment();
     return;
   }
   this->Dispatch(envelope);
@@ -363,7 +358,7 @@
 
 void Node::OnSendFailed(const std::string& endpoint, const wire::Envelope& envelope) {
   const NodeCore::Section section(this->core);
-  ++this->metrics.send_failures;
+  this->metrics.send_failures.Increment();
   if (!envelope.has_execute_request()) {
     return;
   }
@@ -384,7 +379,7 @@
 }
 
 void Node::OnMalformed(std::size_t bytes) {
-  ++this->metrics.malformed_messages;
+  this->metrics.malformed_messages.Increment();
   spdlog::warn("event=malformed_message bytes={}", bytes);
 }
 
@@ -473,7 +468,7 @@
     ReplySender& replies = *this;
     this->executor = std::make_unique<Executor>(
         this->core, this->clock, this->executions, *this->admission, this->inner_calls,
-        this->upstream, this->workers, this->router, replies, this->metrics);
+        this->upstream, this->workers, this->router, replies, this->metrics, this->tracer);
     if (this->draining) {
       this->executor->Drain();
     }
@@ -545,7 +540,7 @@
   }
 
   // Spread over the period, so that a fleet that starts at once does not read at once forever.
-  const double members = static_cast<double>(this->fleet.Members().Members().size());
+  const double members = static_cast<std::int64_t>(this->fleet.Members().Members().size());
   const Duration shared = std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(members / this->options.list_fleet_rate));
   const Duration period = std::max(this->options.list_period, shared);
--- a/net/node.h
+++ b/net/node.h
@@ -34,6 +34,7 @@
 #include "net/system_clock.h"
 #include "net/system_random.h"
 #include "net/thread_timer_service.h"
+#include "net/tracer.h"
 #include "net/upstream_client.h"
 #include "net/worker_pool.h"
 
@@ -63,10 +64,10 @@
   void RunUntilDrained(const std::function<bool()>& stop_requested);
 
   // CallerHandler:
-  CallerResponse Handle(const CallerRequest& request) override;
+  CallerResponse Handle(CallerRequest request) override;
   std::string StatusJson() override;
   std::string MetricsText() override;
-  std::string TracesJson(const std::string& trace_id) override;
+  std::string TracesJson(const std::string& filter) override;
   void BeginDrain() override;
 
  private:
@@ -132,6 +133,7 @@
   const SystemClock clock;
   SystemRandom random;
   NodeMetrics metrics;
+  Tracer tracer;
   NodeCore core;
   ThreadTimerService timers;
   PlatformClient platform;
--- a/net/node_metrics.h
+++ b/net/node_metrics.h
@@ -1,52 +1,59 @@
 #pragma once
 
 #include <array>
-#include <atomic>
-#include <cstdint>
 #include <optional>
+#include <string>
 
-#include "masticpin/base/time.h"
 #include "masticpin/error/error_kind.h"
+#include "masticpin/metrics/metrics_registry.h"
 
 namespace masticpin {
 
-/// Count and sum of durations. Thread-safe.
-struct DurationSum {
-  void Record(Duration duration) {
-    ++this->count;
-    this->sum_ns += static_cast<std::uint64_t>(duration.count());
-  }
-
-  std::atomic<std::uint64_t> count = 0;
-  std::atomic<std::uint64_t> sum_ns = 0;
-};
-
-/// What a node counts about its own work. Thread-safe.
-struct NodeMetrics {
-  /// One count for each result; index 0 is a complete response, the others are error kinds.
-  using ByResult = std::array<std::atomic<std::uint64_t>, kLastErrorKind + 1>;
+/// The metrics of one node. Thread-safe.
+class NodeMetrics {
+ public:
+  NodeMetrics();
 
+  /// Counts a response to a caller or to the own upstream.
   void CountCaller(std::optional<ErrorKind> error) {
-    ++this->callers[error.has_value() ? static_cast<std::size_t>(*error) : 0];
+    this->callers[error.has_value() ? static_cast<std::size_t>(*error) : 0]->Increment();
   }
+
+  /// Counts a reply to a home node; `error` is 0 for a complete response.
   void CountExecution(std::uint32_t error) {
-    ++this->executions[error == 0 ? 0 : static_cast<std::size_t>(ErrorKindFromWire(error))];
+    this->executions[error == 0 ? 0 : static_cast<std::size_t>(ErrorKindFromWire(error))]
+        ->Increment();
   }
 
-  /// Responses to callers and to the own upstream.
-  ByResult callers{};
-  /// Replies to home nodes.
-  ByResult executions{};
+  /// All metrics in the Prometheus text format.
+  std::string WriteText() const { return this->registry.WriteText(); }
+
+ private:
+  /// Index 0 counts complete responses, the others error kinds.
+  using ByResult = std::array<Counter*, kLastErrorKind + 1>;
+
+  ByResult MakeByResult(const char* name, const char* help);
+
+  MetricsRegistry registry;
+  ByResult callers;
+  ByResult executions;
+
+ public:
   /// From the arrival of a caller's request to its response.
-  DurationSum caller_time;
+  LatencyHistogram& caller_time;
   /// From the arrival of an execution to its admission.
-  DurationSum wait;
-  /// Time at the upstream.
-  DurationSum service_time;
-  std::atomic<std::uint64_t> attempts = 0;
-  std::atomic<std::uint64_t> dropped_replies = 0;
-  std::atomic<std::uint64_t> malformed_messages = 0;
-  std::atomic<std::uint64_t> send_failures = 0;
+  LatencyHistogram& wait;
+  /// The upstream's own time for one execution.
+  LatencyHistogram& service_time;
+  Counter& attempts;
+  Counter& dropped_replies;
+  Counter& malformed_messages;
+  Counter& send_failures;
+  Gauge& limit;
+  Gauge& in_flight;
+  Gauge& queued;
+  Gauge& configuration_version;
+  Gauge& members;
 };
 
 }  // namespace masticpin
