Let a node run executions on its own upstream, and ask peers at the start

Cause: two faults found by the new tests of whole nodes. A node put epoch 0 into the execution keys addressed to itself, so its own execution table refused them (ledger_full) and every such request cost a retry at a sibling. A starting node began before it had the list of instances, so it asked no peer and could come into force with an older version than its peers held. Tests of whole nodes over loopback guard both, and also copies at once, a restarted home, a cut upstream connection, a drain under load, an invalid manifest and the spans of one action.

--- a/net/instance_router.cc
+++ b/net/instance_router.cc
@@ -20,7 +20,8 @@
   if (member == nullptr || !this->fleet.Thresholds().ShouldSend(member->id.incarnation, priority)) {
     return std::nullopt;
   }
-  return ExecutionTarget{member->id, member->epoch};
+  // No envelope tells this node its own epoch.
+  return ExecutionTarget{member->id, member->self ? this->epochs.Current() : member->epoch};
 }
 
 bool InstanceRouter::Admits(std::string_view service, Priority priority) {
--- a/net/instance_router.h
+++ b/net/instance_router.h
@@ -2,6 +2,7 @@
 
 #include <vector>
 
+#include "masticpin/execution/epoch_counter.h"
 #include "masticpin/execution/instance_chooser.h"
 #include "masticpin/fleet/fleet_state.h"
 
@@ -10,7 +11,8 @@
 /// Chooses executors for a HomeDispatcher among the instances that the fleet state knows.
 class InstanceRouter : public InstanceChooser {
  public:
-  explicit InstanceRouter(FleetState& fleet) : fleet(fleet) {}
+  /// `epochs` counts the epochs of this process.
+  InstanceRouter(FleetState& fleet, const EpochCounter& epochs) : fleet(fleet), epochs(epochs) {}
 
   std::optional<ExecutionTarget> Choose(std::string_view service,
                                         std::span<const std::string> exclude,
@@ -22,6 +24,7 @@
 
  private:
   FleetState& fleet;
+  const EpochCounter& epochs;
   std::vector<InstanceId> excluded;
 };
 
--- a/net/node.cc
+++ b/net/node.cc
@@ -76,7 +76,7 @@
             this->timers,
             this->random,
             MakeFleetSettings(settings)),
-      router(this->fleet),
+      router(this->fleet, this->mint.Epochs()),
       home(this->core,
            this->clock,
            this->mint,
@@ -127,8 +127,8 @@
 
   {
     const NodeCore::Section section(this->core);
-    this->OnTimer(this->clock.Now());
-    this->fleet.Start();
+    this->started_at = this->clock.Now();
+    this->OnTimer(this->started_at);
   }
 
   const std::string http_address = this->settings.http_address.ToString();
@@ -208,6 +208,7 @@
                        {"incarnation", member->id.incarnation},
                        {"service", member->service},
                        {"zone", member->zone},
+                       {"heard", member->self || member->Heard()},
                        {"state", kStates[static_cast<int>(member->state)]}});
   }
   status["pauses"] = this->fleet.Pauses();
@@ -551,11 +552,19 @@
 
 void Node::OnList(const std::optional<std::vector<ListedInstance>>& list) {
   this->list_in_progress = false;
-  if (!list.has_value()) {
+  if (list.has_value()) {
+    this->fleet.Members().ApplyList(*list);
+  } else {
     spdlog::warn("event=instance_list_unavailable");
-    return;
   }
-  this->fleet.Members().ApplyList(*list);
+
+  // The start-up asks the peers of the list; a node that asked the configuration service alone
+  // could begin with an older version than its peers hold.
+  const bool waited = this->clock.Now() - this->started_at >= this->options.list_wait;
+  if (!this->fleet_started && (list.has_value() || waited)) {
+    this->fleet_started = true;
+    this->fleet.Start();
+  }
 }
 
 }  // namespace masticpin
--- a/net/node.h
+++ b/net/node.h
@@ -156,6 +156,8 @@
   Ref<const Manifest> manifest;
   std::unordered_map<std::uint64_t, Outstanding> outstanding;
   bool list_in_progress = false;
+  bool fleet_started = false;
+  TimePoint started_at{};
   bool draining = false;
   TimePoint drain_began{};
 };
--- /dev/null
+++ b/net/node_test.cc
@@ -0,0 +1,246 @@
+#include "net/node.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <array>
+#include <future>
+#include <nlohmann/json.hpp>
+
+#include "masticpin/wire/http_headers.h"
+#include "net/testing/test_site.h"
+
+namespace masticpin {
+namespace {
+
+constexpr std::array<const char*, 3> kNames = {"ballot-1", "ballot-2", "dues-1"};
+
+std::string ManifestText(std::uint64_t version, int slots) {
+  return "[manifest]\nversion = " + std::to_string(version) +
+         "\nsite = test\n"
+         "[service ballot]\nslots = " +
+         std::to_string(slots) +
+         "\nconnections = 100\n"
+         "[service dues]\nslots = 4\nconnections = 100\n"
+         "[kind ballot/vote]\nimportance = 9\nidempotent = no\ndeadline_ms = 20000\nattempts = 6\n"
+         "caller_tries = 3\nkey = required\ncalls = dues/standing\n"
+         "[kind ballot/tally]\nimportance = 1\nidempotent = yes\ndeadline_ms = 20000\n"
+         "attempts = 3\ncaller_tries = 3\nkey = required\n"
+         "[kind dues/standing]\nimportance = 5\nidempotent = yes\ndeadline_ms = 20000\n"
+         "attempts = 3\ncaller_tries = 3\nkey = required\n";
+}
+
+/// Three instances of two services. The upstreams count their runs.
+class NodeTest : public testing::Test {
+ protected:
+  void SetUp() override {
+    this->site = std::make_unique<TestSite>(
+        ManifestText(1, 8), [this](const httplib::Request& request, httplib::Response& response) {
+          this->HandleUpstream(request, response);
+        });
+    this->site->Add("ballot-1", "ballot");
+    this->site->Add("ballot-2", "ballot");
+    this->site->Add("dues-1", "dues");
+    this->site->Start();
+  }
+
+  void HandleUpstream(const httplib::Request& request, httplib::Response& response) {
+    const std::string action = request.get_header_value(kActionHeader);
+    {
+      const std::lock_guard lock(this->mutex);
+      ++this->runs[request.path + " " + action];
+    }
+    if (this->cut) {
+      HttpConnection::Current()->DropResponse(/*close=*/true);
+      return;
+    }
+    if (request.path == "/ballot/vote") {
+      if (this->hold) {
+        this->holding = true;
+        TestSite::WaitUntil([this] { return !this->hold; });
+      }
+      this->CallDues(request, response);
+      return;
+    }
+    response.set_content(request.path + " " + action, "text/plain");
+  }
+
+  void CallDues(const httplib::Request& request, httplib::Response& response) {
+    httplib::Client client("127.0.0.1",
+                           this->site->HttpPort(request.get_header_value("X-Instance")));
+    const httplib::Headers headers = {{kContextHeader, request.get_header_value(kContextHeader)}};
+    const auto inner = client.Post("/dues/standing", headers, "", "text/plain");
+    if (!inner || inner->status != 200) {
+      response.status = 503;
+      response.set_header(kOutcomeHeader, "not-run");
+      return;
+    }
+    response.set_content("voted after " + inner->body, "text/plain");
+  }
+
+  int RunsOf(const std::string& path) {
+    const std::lock_guard lock(this->mutex);
+    int count = 0;
+    for (const auto& [run, times] : this->runs) {
+      if (run.rfind(path + " ", 0) == 0) {
+        count += times;
+      }
+    }
+    return count;
+  }
+
+  std::unique_ptr<TestSite> site;
+  std::mutex mutex;
+  std::map<std::string, int> runs;
+  std::atomic<bool> cut = false;
+  std::atomic<bool> hold = false;
+  std::atomic<bool> holding = false;
+};
+
+// Guards against a path that is broken anywhere between caller, home, executor and inner call, and
+// against a repetition that runs again at another node.
+TEST_F(NodeTest, VoteRunsOnceAndIsReplayedAtAnotherNode) {
+  const TestResponse refused = this->site->Send("ballot-1", "/ballot/vote", "");
+  EXPECT_EQ(refused.status, 428);
+  EXPECT_EQ(refused.outcome, "not-run");
+
+  const TestResponse voted = this->site->Send("ballot-1", "/ballot/vote", refused.key);
+  EXPECT_EQ(voted.outcome, "complete");
+  EXPECT_EQ(voted.body, "voted after /dues/standing " + refused.key);
+  for (const char* node : {"ballot-1", "ballot-2", "dues-1"}) {
+    EXPECT_EQ(this->site->Send(node, "/ballot/vote", refused.key).body, voted.body) << node;
+  }
+  EXPECT_EQ(this->RunsOf("/ballot/vote"), 1);
+}
+
+// Guards against a node that cannot run its own executions: the epoch in the execution key was 0,
+// so each was refused and went to a sibling at the cost of a retry.
+TEST_F(NodeTest, NodeRunsExecutionsOnItsOwnUpstream) {
+  const std::string key = this->site->NewKey("dues-1", "/dues/standing");
+  EXPECT_EQ(this->site->Send("dues-1", "/dues/standing", key).outcome, "complete");
+}
+
+// Guards against a second run when copies of one request arrive at the same time.
+TEST_F(NodeTest, CopiesAtOnceRunOnceAndAllGetTheResponse) {
+  const std::string key = this->site->NewKey("ballot-1", "/ballot/vote");
+  this->hold = true;
+  std::vector<std::future<TestResponse>> copies;
+  for (const char* node : {"ballot-1", "ballot-2", "dues-1", "ballot-1"}) {
+    copies.push_back(std::async(std::launch::async, [this, node, &key] {
+      return this->site->Send(node, "/ballot/vote", key);
+    }));
+  }
+  ASSERT_TRUE(TestSite::WaitUntil([this] { return this->holding.load(); }));
+  this->hold = false;
+  for (std::future<TestResponse>& copy : copies) {
+    EXPECT_EQ(copy.get().outcome, "complete");
+  }
+  EXPECT_EQ(this->RunsOf("/ballot/vote"), 1);
+}
+
+// Guards against running a key whose home has lost its memory: the action may have run before.
+TEST_F(NodeTest, KeyOfRestartedHomeIsUnknownAndNeverRuns) {
+  const std::string key = this->site->NewKey("ballot-1", "/ballot/vote");
+  this->site->Restart("ballot-1");
+  ASSERT_TRUE(TestSite::WaitUntil(
+      [this] { return this->site->Status("ballot-1", "state") == "\"serving\""; }));
+
+  const TestResponse direct = this->site->Send("ballot-1", "/ballot/vote", key);
+  EXPECT_EQ(direct.outcome, "unknown");
+  EXPECT_EQ(direct.error, "outcome_lost");
+  EXPECT_EQ(this->site->Send("ballot-2", "/ballot/vote", key).outcome, "unknown");
+  EXPECT_EQ(this->RunsOf("/ballot/vote"), 0);
+}
+
+// Guards against a retry of a vote that may have run, and against reporting it as not run.
+TEST_F(NodeTest, CutUpstreamConnectionIsUnknownForAVote) {
+  const std::string key = this->site->NewKey("ballot-1", "/ballot/vote");
+  this->cut = true;
+  const TestResponse response = this->site->Send("ballot-1", "/ballot/vote", key);
+  EXPECT_EQ(response.outcome, "unknown");
+  EXPECT_EQ(response.error, "upstream_broken");
+  this->cut = false;
+  EXPECT_EQ(this->site->Send("ballot-1", "/ballot/vote", key).outcome, "unknown");
+  EXPECT_EQ(this->RunsOf("/ballot/vote"), 1);
+}
+
+// Guards against giving up on an idempotent request that a sibling could still serve.
+TEST_F(NodeTest, CutUpstreamConnectionIsRetriedForATally) {
+  const std::string key = this->site->NewKey("ballot-1", "/ballot/tally");
+  this->cut = true;
+  const TestResponse response = this->site->Send("ballot-1", "/ballot/tally", key);
+  EXPECT_EQ(response.outcome, "unknown");
+  EXPECT_EQ(response.error, "upstream_broken");
+  EXPECT_EQ(this->RunsOf("/ballot/tally"), 2);
+}
+
+// Guards against a planned stop that interrupts a request in progress, and against new work on a
+// node that leaves.
+TEST_F(NodeTest, DrainFinishesWorkInProgressAndRefusesNewWork) {
+  const std::string key = this->site->NewKey("ballot-1", "/ballot/vote");
+  this->hold = true;
+  std::future<TestResponse> vote = std::async(
+      std::launch::async, [&] { return this->site->Send("ballot-1", "/ballot/vote", key); });
+  ASSERT_TRUE(TestSite::WaitUntil([this] { return this->holding.load(); }));
+  std::future<void> drained =
+      std::async(std::launch::async, [this] { this->site->Drain("ballot-1"); });
+
+  ASSERT_TRUE(TestSite::WaitUntil(
+      [this] { return this->site->Send("ballot-1", "/ballot/vote", "").error == "draining"; }));
+  ASSERT_TRUE(TestSite::WaitUntil([this] {
+    const auto members = nlohmann::json::parse(this->site->Status("ballot-2", "members"));
+    return std::any_of(members.begin(), members.end(), [](const auto& member) {
+      return member["name"] == "ballot-1" && member["state"] == "leaving";
+    });
+  }));
+  this->hold = false;
+  EXPECT_EQ(vote.get().outcome, "complete");
+  drained.get();
+}
+
+// Guards against a configuration that goes back: the service offers an older value again.
+TEST_F(NodeTest, NewVersionComesIntoForceAndNeverReverts) {
+  const auto all_at = [this](const char* version) {
+    return std::all_of(kNames.begin(), kNames.end(), [&](const char* name) {
+      return this->site->Status(name, "configuration/version") == version;
+    });
+  };
+  this->site->Publish(5, ManifestText(5, 3));
+  ASSERT_TRUE(TestSite::WaitUntil([&] { return all_at("5"); }));
+  this->site->Publish(4, ManifestText(4, 8));
+  this->site->Restart("ballot-2");
+  ASSERT_TRUE(TestSite::WaitUntil(
+      [this] { return this->site->Status("ballot-2", "state") == "\"serving\""; }));
+  EXPECT_TRUE(all_at("5"));
+}
+
+// Guards against a manifest with a mistake that comes into force, or that stops the node.
+TEST_F(NodeTest, InvalidManifestLeavesTheOneInForce) {
+  this->site->Publish(6, "[manifest]\nversion = 6\nsite = test\nnonsense = 1\n");
+  const std::string key = this->site->NewKey("ballot-1", "/ballot/vote");
+  EXPECT_EQ(this->site->Send("ballot-1", "/ballot/vote", key).outcome, "complete");
+  EXPECT_EQ(this->site->Status("ballot-1", "configuration/version"), "1");
+}
+
+// Guards against an action whose hops cannot be found: one trace must link them all.
+TEST_F(NodeTest, TraceHasASpanForEachHop) {
+  const std::string key = this->site->NewKey("ballot-1", "/ballot/vote");
+  ASSERT_EQ(this->site->Send("ballot-1", "/ballot/vote", key).outcome, "complete");
+  std::vector<std::string> traces;
+  for (const char* name : kNames) {
+    httplib::Client client("127.0.0.1", this->site->HttpPort(name));
+    const auto result = client.Get("/_masticpin/traces?filter=" + key);
+    ASSERT_TRUE(result);
+    const auto spans =
+        nlohmann::json::parse(result->body)["resourceSpans"][0]["scopeSpans"][0]["spans"];
+    for (const auto& span : spans) {
+      traces.push_back(span["traceId"]);
+    }
+  }
+  // Ingress and execution of the vote, inner call and its execution.
+  EXPECT_EQ(traces.size(), 4U);
+  EXPECT_EQ(std::count(traces.begin(), traces.end(), traces.front()), 4);
+}
+
+}  // namespace
+}  // namespace masticpin
--- /dev/null
+++ b/net/testing/test_site.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "net/http_server.h"
+#include "net/node.h"
+
+namespace masticpin {
+
+/// An HTTP server on a free port of loopback, served by a thread of its own.
+class TestServer {
+ public:
+  using Handler = std::function<void(const httplib::Request&, httplib::Response&)>;
+
+  explicit TestServer(Handler handler);
+  ~TestServer();
+
+  int Port() const { return this->port; }
+
+ private:
+  HttpServer server;
+  int port = 0;
+  std::thread thread;
+};
+
+/// Response of a node to a test's request.
+struct TestResponse {
+  int status = 0;
+  std::string outcome;
+  std::string error;
+  std::string key;
+  std::string body;
+};
+
+/// A small deployment in one process: fakes of the platform and the upstreams around real nodes.
+class TestSite {
+ public:
+  using Upstream = std::function<void(const httplib::Request&, httplib::Response&)>;
+
+  /// `upstream` handles the requests of all instances; X-Instance names the instance.
+  TestSite(std::string manifest, Upstream upstream);
+  ~TestSite();
+
+  /// Adds one instance with its upstream; call Start() afterwards.
+  void Add(const std::string& name, const std::string& service);
+  /// Starts all nodes and waits until each knows the others.
+  void Start();
+  /// Replaces the node of an instance by a new process, as after a crash.
+  void Restart(const std::string& name);
+  /// Stops the node of an instance gracefully; returns when it has ended.
+  void Drain(const std::string& name);
+
+  /// Publishes another document.
+  void Publish(std::uint64_t version, std::string manifest);
+
+  TestResponse Send(const std::string& name, const std::string& path, const std::string& key);
+  /// Asks for a key by a request without one.
+  std::string NewKey(const std::string& name, const std::string& path);
+  /// A value of the node's status, such as "configuration/version".
+  std::string Status(const std::string& name, const std::string& pointer);
+
+  /// "ip:port" of the node, for the upstream's own calls.
+  int HttpPort(const std::string& name) const { return this->instances.at(name)->http_port; }
+
+  /// Waits until `predicate` holds; false only after a time that no healthy run needs.
+  static bool WaitUntil(const std::function<bool()>& predicate);
+
+ private:
+  struct Instance {
+    std::string name;
+    std::string service;
+    int http_port = 0;
+    int peer_port = 0;
+    std::unique_ptr<TestServer> upstream;
+    std::unique_ptr<Node> node;
+  };
+
+  void StartNode(Instance& instance);
+  void HandlePlatform(const httplib::Request& request, httplib::Response& response);
+
+  Upstream upstream;
+  std::mutex mutex;
+  std::uint64_t version = 1;
+  std::string manifest;
+  std::map<std::string, std::unique_ptr<Instance>> instances;
+  std::unique_ptr<TestServer> platform;
+};
+
+}  // namespace masticpin
