--- a/masticpin/admission/overload_bench.cc
+++ b/masticpin/admission/overload_bench.cc
@@ -163,6 +163,7 @@
   };
   const std::vector<Variant> variants = {{"none", false, milliseconds(100)},
                                          {"cancel", true, milliseconds(100)},
+                                         {"wait_500ms", false, milliseconds(500)},
                                          {"wait_1s", false, milliseconds(1000)}};
   for (const Case& one : cases) {
     for (const Variant& variant : variants) {
