Start no hold-down for requests that came too late for any service

Cause: a refused request held all less important work down for 100 ms even if its caller had left less time than any request takes. Change: the limiter keeps the shortest service time of the last one to two windows; a request with less time left on arrival starts no hold-down and raises no threshold.

--- a/masticpin/admission/admission_controller.cc
+++ b/masticpin/admission/admission_controller.cc
@@ -49,6 +49,7 @@
     // No capacity could have helped this request, so there is no hold-down for it.
     this->Refuse(request, ErrorKind::kExpiredBeforeStart, now);
   } else {
+    request.too_late = request.deadline - now < this->limiter.ShortestServiceTime();
     // A full queue loses its least important request, which may be the new one.
     if (this->queue.Size() >= this->settings.queue_capacity) {
       ++this->statistics.evicted;
@@ -242,8 +243,12 @@
 }
 
 void AdmissionController::RefuseForLoad(AdmissionRequest& request, ErrorKind kind, TimePoint now) {
-  this->refused_at[request.priority.importance] = now;
-  this->recent.OnRefused(now);
+  // A request that no capacity could have served in time starts no hold-down: one caller with a
+  // deadline that is too short would otherwise keep less important work out.
+  if (!request.too_late) {
+    this->refused_at[request.priority.importance] = now;
+    this->recent.OnRefused(now);
+  }
   this->Refuse(request, kind, now);
 }
 
--- a/masticpin/admission/admission_controller.h
+++ b/masticpin/admission/admission_controller.h
@@ -79,7 +79,7 @@
   void Admit(AdmissionRequest& request, TimePoint now);
   /// Puts a request that is in no queue on the refusal list.
   void Refuse(AdmissionRequest& request, ErrorKind kind, TimePoint now);
-  /// Refuses a request that more capacity would have served, and starts a hold-down.
+  /// Refuses a request for lack of capacity, and starts a hold-down.
   void RefuseForLoad(AdmissionRequest& request, ErrorKind kind, TimePoint now);
 
   /// Adds an idle request to the queue with its expiry.
--- a/masticpin/admission/admission_controller_test.cc
+++ b/masticpin/admission/admission_controller_test.cc
@@ -149,6 +149,27 @@
   EXPECT_EQ(this->Offer(0).admitted, 1);
 }
 
+// Guards against a caller with a deadline that is too short for any service, whose refusals keep
+// all less important work out.
+TEST_F(AdmissionControllerTest, StartsNoHoldDownForADeadlineShorterThanAnyService) {
+  this->Complete(this->Offer(0), Completion::kSuccess);
+  RecordedRequest& running = this->Offer(0);
+  RecordedRequest& too_late = this->Offer(9, milliseconds(19));
+  this->clock.Advance(milliseconds(19));
+  EXPECT_EQ(too_late.refusal, ErrorKind::kExpiredBeforeStart);
+  RecordedRequest& low = this->Offer(0);
+  this->Complete(running, Completion::kSuccess);
+  EXPECT_EQ(low.admitted, 1);
+
+  // With just enough time the refusal is one for lack of capacity.
+  RecordedRequest& in_time = this->Offer(9, milliseconds(20));
+  this->clock.Advance(milliseconds(20));
+  EXPECT_EQ(in_time.refusal, ErrorKind::kExpiredBeforeStart);
+  RecordedRequest& held_down = this->Offer(0);
+  this->Complete(low, Completion::kSuccess);
+  EXPECT_EQ(held_down.admitted, 0);
+}
+
 // Guards against work that starts too late to be useful: 20 ms are needed, 50 ms remain.
 TEST_F(AdmissionControllerTest, RefusesWhenTooLittleTimeIsLeftForTheService) {
   this->Complete(this->Offer(0), Completion::kSuccess);
--- a/masticpin/admission/admission_request.h
+++ b/masticpin/admission/admission_request.h
@@ -61,6 +61,8 @@
   ErrorKind refusal = ErrorKind::kOverloaded;
   /// What the request is refused with at `expiry`.
   ErrorKind expiry_kind = ErrorKind::kOverloaded;
+  /// Less time was left at the offer than any recent request took.
+  bool too_late = false;
   State state = State::kIdle;
 };
 
--- a/masticpin/admission/concurrency_limiter.cc
+++ b/masticpin/admission/concurrency_limiter.cc
@@ -53,6 +53,8 @@
                        ? service_time
                        : this->expected + (service_time - this->expected) / kExpectedWeight;
 
+  this->RecordShortest(now, service_time);
+
   // Grow by one per limit's worth of completions while the limit is used.
   const bool used = in_flight >= this->Limit();
   if (used && !this->congested && !this->measuring) {
@@ -91,6 +93,20 @@
   return this->expected;
 }
 
+Duration ConcurrencyLimiter::ShortestServiceTime() const {
+  const Duration shortest = std::min(this->shortest_current, this->shortest_previous);
+  return shortest == Duration::max() ? Duration::zero() : shortest;
+}
+
+void ConcurrencyLimiter::RecordShortest(TimePoint now, Duration service_time) {
+  if (now - this->shortest_start >= this->settings.reference_window) {
+    this->shortest_previous = this->shortest_current;
+    this->shortest_current = Duration::max();
+    this->shortest_start = now;
+  }
+  this->shortest_current = std::min(this->shortest_current, service_time);
+}
+
 std::uint32_t ConcurrencyLimiter::RoundSize() const {
   const std::uint32_t limit_now = this->Limit();
   return std::max(kLeastRoundTrips * limit_now,
--- a/masticpin/admission/concurrency_limiter.h
+++ b/masticpin/admission/concurrency_limiter.h
@@ -36,7 +36,11 @@
   /// Moving average of the service time; 0 before the first success.
   Duration ExpectedServiceTime() const;
 
+  /// Shortest service time of the last one to two windows with successes; 0 before the first one.
+  Duration ShortestServiceTime() const;
+
  private:
+  void RecordShortest(TimePoint now, Duration service_time);
   /// Number of latencies in one round.
   std::uint32_t RoundSize() const;
   /// Evaluates a full round of latencies.
@@ -53,6 +57,11 @@
   double limit = 1;
   Duration expected{};
 
+  /// Shortest service times of the current and the previous window; max() while there is none.
+  Duration shortest_current = Duration::max();
+  Duration shortest_previous = Duration::max();
+  TimePoint shortest_start{};
+
   /// Latencies of the current round.
   std::uint32_t round_count = 0;
   Duration round_sum{};
