--- a/masticpin/execution/attempt_bound_test.cc
+++ b/masticpin/execution/attempt_bound_test.cc
@@ -80,7 +80,6 @@
       RecordingWaiter waiter;
       const BeginResult begin = this->ledger.Begin(key, terms, waiter);
       if (begin.verdict == BeginVerdict::kStart) {
-        this->root = begin.entry.get();
         this->Dispatch(begin.entry, 1, "root");
         while (waiter.results.empty()) {
           this->Step();
@@ -154,10 +153,10 @@
   void OnDispatched(LedgerEntry& entry,
                     const ActionResult& result,
                     std::uint32_t /*attempts_used*/) override {
-    if (&entry == this->root) {
-      this->ledger.Finish(entry, result);
-    } else {
+    if (entry.IsInner()) {
       this->inner.Finish(entry, result);
+    } else {
+      this->ledger.Finish(entry, result);
     }
   }
 
@@ -246,7 +245,6 @@
   std::list<Run> runs;
   std::map<std::uint64_t, InstanceId> executors;
   std::map<std::string, int> runs_of_step;
-  const LedgerEntry* root = nullptr;
   std::deque<std::function<void()>> queue;
   ChainResult result;
 };
