--- a/net/executor.cc
+++ b/net/executor.cc
@@ -13,6 +13,10 @@
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
+/// Retry-after of a refusal that is based on thresholds of other instances. They are valid for
+/// 250 ms; another 250 ms spread the callers beyond the next report.
+constexpr Duration kInnerRetryAfter = milliseconds(500);
+
 void AddHeader(wire::HttpRequest& request, const char* name, const std::string& value) {
   wire::Header* header = request.add_headers();
   header->set_name(name);
@@ -52,8 +56,10 @@
                    InnerCallTable& inner_calls,
                    UpstreamClient& upstream,
                    WorkerPool& workers,
+                   InstanceRouter& router,
                    ReplySender& replies,
-                   NodeMetrics& metrics)
+                   NodeMetrics& metrics,
+                   Tracer& tracer)
     : core(core),
       clock(clock),
       table(table),
@@ -61,8 +67,10 @@
       inner_calls(inner_calls),
       upstream(upstream),
       workers(workers),
+      router(router),
       replies(replies),
-      metrics(metrics) {}
+      metrics(metrics),
+      tracer(tracer) {}
 
 void Executor::Execute(const InstanceId& home, const wire::ExecuteRequest& request) {
   // A key is accepted at most once; everything after this point ends in one reply.
@@ -86,16 +94,17 @@
 
   const Ref<ExecutionJob> job(new ExecutionJob(*this, home, request));
   this->jobs.emplace(IdOf(request.key()), job);
+  job->span = this->tracer.Begin(request.service(), request.kind(), request.traceparent());
+  job->span.AddAttribute("hop", "execute");
+  job->span.AddAttribute("action", request.action());
+  job->span.decision = SpanDecision::kRefused;
 
   // Check the request against the manifest.
   const KindSpec* kind = this->manifest == nullptr
                              ? nullptr
                              : this->manifest->FindKind(request.service(), request.kind());
-  if (kind == nullptr || request.attempts() == 0) {
-    const ErrorKind error = this->manifest == nullptr ? ErrorKind::kNoConfiguration
-                            : kind == nullptr         ? ErrorKind::kNotFound
-                                                      : ErrorKind::kAttemptsExhausted;
-    this->FinishWithError(*job, error, Duration::zero());
+  if (const auto error = this->Check(kind, request); error.has_value()) {
+    this->FinishWithError(*job, *error, Duration::zero());
     return;
   }
 
@@ -110,9 +119,31 @@
       request.remaining_us(),
       static_cast<std::uint64_t>(duration_cast<microseconds>(kind->deadline).count())));
   job->deadline = job->arrived + remaining;
+  if (!this->InnerCallsAdmitted(*kind, job->priority)) {
+    this->FinishWithError(*job, ErrorKind::kInnerCallRefused, kInnerRetryAfter);
+    return;
+  }
   this->admission.Offer(*job);
 }
 
+std::optional<ErrorKind> Executor::Check(const KindSpec* kind,
+                                         const wire::ExecuteRequest& request) const {
+  if (this->manifest == nullptr) {
+    return ErrorKind::kNoConfiguration;
+  }
+  if (kind == nullptr) {
+    return ErrorKind::kNotFound;
+  }
+  return request.attempts() < kind->cost ? std::optional(ErrorKind::kAttemptsExhausted)
+                                         : std::nullopt;
+}
+
+bool Executor::InnerCallsAdmitted(const KindSpec& kind, Priority priority) {
+  return std::all_of(kind.calls.begin(), kind.calls.end(), [&](const KindRef& call) {
+    return this->router.Admits(call.service, priority);
+  });
+}
+
 void Executor::Cancel(const wire::ExecutionKey& key) {
   if (this->table.Cancel(key) != CancelVerdict::kRunning) {
     return;
@@ -130,7 +161,11 @@
 }
 
 void Executor::OnAdmitted(ExecutionJob& job) {
-  this->metrics.wait.Record(this->clock.Now() - job.arrived);
+  const Duration wait = this->clock.Now() - job.arrived;
+  this->metrics.wait.Record(wait);
+  job.span.decision = SpanDecision::kAdmitted;
+  job.span.attempt = 1;
+  job.span.AddAttribute("wait_us", std::to_string(duration_cast<microseconds>(wait).count()));
   this->workers.Post(job);
 }
 
@@ -163,7 +198,7 @@
   terms.priority = job.priority;
   terms.deadline = job.deadline;
   terms.action = job.request.action();
-  terms.traceparent = job.request.traceparent();
+  terms.traceparent = job.span.context.Format();
   Ref<ExecutionContext> context = this->inner_calls.Open(std::move(terms));
   context->Budget().Spend(1);
   return context;
@@ -176,9 +211,7 @@
   AddHeader(request, kContextHeader, context.Token());
   AddHeader(request, kActionHeader, job.request.action());
   AddHeader(request, kDeadlineHeader, std::to_string(std::max<std::int64_t>(remaining.count(), 1)));
-  if (!job.request.traceparent().empty()) {
-    AddHeader(request, kTraceparentHeader, job.request.traceparent());
-  }
+  AddHeader(request, kTraceparentHeader, job.span.context.Format());
   return request;
 }
 
@@ -187,7 +220,14 @@
                       Duration service_time,
                       wire::ExecuteReply reply) {
   const ContextSummary summary = this->inner_calls.Close(context);
-  const Completion completion = CompletionOf(reply.error());
+  Completion completion = CompletionOf(reply.error());
+  // The upstream gave up because another service refused: this says nothing about the upstream.
+  if (completion == Completion::kShed && context.InnerRefused()) {
+    completion = Completion::kCancelled;
+    reply.set_error(static_cast<std::uint32_t>(ErrorKind::kInnerCallRefused));
+    reply.set_retry_after_ms(
+        static_cast<std::uint64_t>(duration_cast<milliseconds>(context.InnerRetryAfter()).count()));
+  }
   // A repetition of this execution would repeat the inner call, so the upstream's "not run" cannot
   // be passed on.
   if (reply.error() != 0 && IsNotRun(static_cast<ErrorKind>(reply.error())) &&
@@ -195,14 +235,17 @@
     reply.set_error(static_cast<std::uint32_t>(ErrorKind::kUpstreamBroken));
   }
   reply.set_attempts_used(summary.attempts_used);
-  this->metrics.service_time.Record(service_time);
+  const Duration own_time = service_time - context.InnerTime();
+  this->metrics.service_time.Record(own_time);
   const Ref<ExecutionJob> keep(&job);
-  this->admission.Complete(job, completion, service_time);
+  this->admission.Complete(job, completion, own_time);
   this->Finish(job, std::move(reply));
 }
 
 void Executor::Finish(ExecutionJob& job, wire::ExecuteReply reply) {
   this->metrics.CountExecution(reply.error());
+  this->tracer.End(job.span, reply.error() == 0 ? std::nullopt
+                                                : std::optional(ErrorKindFromWire(reply.error())));
   const Ref<const StoredReply> stored(new StoredReply(std::move(reply)));
   this->table.Finish(job.request.key(), stored);
   this->replies.SendReply(job.home, stored->Message());
--- a/net/executor.h
+++ b/net/executor.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <unordered_map>
 
 #include "masticpin/admission/admission_controller.h"
@@ -8,9 +9,11 @@
 #include "masticpin/execution/inner_call_table.h"
 #include "masticpin/manifest/manifest.h"
 #include "net/execution_job.h"
+#include "net/instance_router.h"
 #include "net/node_core.h"
 #include "net/node_metrics.h"
 #include "net/reply_sender.h"
+#include "net/tracer.h"
 #include "net/upstream_client.h"
 #include "net/worker_pool.h"
 
@@ -29,8 +32,10 @@
            InnerCallTable& inner_calls,
            UpstreamClient& upstream,
            WorkerPool& workers,
+           InstanceRouter& router,
            ReplySender& replies,
-           NodeMetrics& metrics);
+           NodeMetrics& metrics,
+           Tracer& tracer);
 
   /// Sets the manifest in force; executions are refused while there is none.
   void SetManifest(Ref<const Manifest> manifest) { this->manifest = std::move(manifest); }
@@ -64,6 +69,9 @@
     return {key.home_incarnation(), key.sequence()};
   }
 
+  /// Why the request cannot run, before it asks for admission.
+  std::optional<ErrorKind> Check(const KindSpec* kind, const wire::ExecuteRequest& request) const;
+  bool InnerCallsAdmitted(const KindSpec& kind, Priority priority);
   void OnAdmitted(ExecutionJob& job);
   void OnRefused(ExecutionJob& job, ErrorKind kind, Duration retry_after);
   /// Runs on a worker thread, outside of a section.
@@ -85,8 +93,10 @@
   InnerCallTable& inner_calls;
   UpstreamClient& upstream;
   WorkerPool& workers;
+  InstanceRouter& router;
   ReplySender& replies;
   NodeMetrics& metrics;
+  Tracer& tracer;
   Ref<const Manifest> manifest;
   std::unordered_map<JobId, Ref<ExecutionJob>, JobIdHash> jobs;
 };
