Give an idempotent dispatch enough time while its service is slow

Cause: the dispatcher keeps half of the remaining time for a retry unless the expected duration is longer, and no duration was ever given to it. With dues at one fifth of its speed (500 ms) the 750 ms that an inner call got were used up by the queue and the service, so that started work was cancelled and wasted. Change: the home measures the time of each kind (mean and deviation as in RFC 6298) and passes the estimate on.

--- a/net/home.cc
+++ b/net/home.cc
@@ -208,10 +208,10 @@
     order.action = context.Terms().action;
     order.traceparent = request.traceparent;
     this->dispatcher->Dispatch(begun.entry, std::move(order));
-  } else if (begun.verdict != BeginVerdict::kJoined) {
-    return this->ResponseOf(begun);
+    return this->AwaitDispatch(section, kind, *begun.entry, wait, deadline);
   }
-  return this->Await(section, *begun.entry, wait, deadline);
+  return begun.verdict == BeginVerdict::kJoined ? this->Await(section, *begun.entry, wait, deadline)
+                                                : this->ResponseOf(begun);
 }
 
 CallerResponse Home::HandleRoot(NodeCore::Section& section,
@@ -251,7 +251,7 @@
     order.action = key->ToText();
     order.traceparent = request.traceparent;
     this->dispatcher->Dispatch(begun.entry, std::move(order));
-    response = this->Await(section, *begun.entry, wait, deadline);
+    response = this->AwaitDispatch(section, kind, *begun.entry, wait, deadline);
   } else if (begun.verdict == BeginVerdict::kJoined) {
     response = this->Await(section, *begun.entry, wait, deadline);
   } else {
@@ -280,7 +280,7 @@
   order.action = key.ToText();
   order.traceparent = request.traceparent;
   this->dispatcher->Dispatch(begun.entry, std::move(order));
-  return this->Await(section, *begun.entry, wait, deadline);
+  return this->AwaitDispatch(section, kind, *begun.entry, wait, deadline);
 }
 
 CallerResponse Home::Forward(NodeCore::Section& section,
@@ -392,6 +392,25 @@
   }
 }
 
+CallerResponse Home::AwaitDispatch(NodeCore::Section& section,
+                                   const KindSpec& kind,
+                                   LedgerEntry& entry,
+                                   CallerWait& wait,
+                                   TimePoint deadline) {
+  const TimePoint started = this->clock.Now();
+  CallerResponse response = this->Await(section, entry, wait, deadline);
+  // Refusals say nothing about the time that a request needs.
+  if (!response.error.has_value() || *response.error == ErrorKind::kDeadlineExceeded ||
+      *response.error == ErrorKind::kPeerLost) {
+    this->ExpectedTimeOf(kind).Add(this->clock.Now() - started);
+  }
+  return response;
+}
+
+ExpectedTime& Home::ExpectedTimeOf(const KindSpec& kind) {
+  return this->expected_times[{kind.service, kind.name}];
+}
+
 CallerResponse Home::Await(NodeCore::Section& section,
                            LedgerEntry& entry,
                            CallerWait& wait,
@@ -432,8 +451,9 @@
 DispatchOrder Home::MakeOrder(const KindSpec& kind,
                               Priority priority,
                               TimePoint deadline,
-                              wire::HttpRequest http) const {
+                              wire::HttpRequest http) {
   DispatchOrder order;
+  order.expected_time = this->ExpectedTimeOf(kind).Estimate();
   order.service = kind.service;
   order.kind = kind.name;
   order.priority = priority;
--- a/net/home.h
+++ b/net/home.h
@@ -1,8 +1,11 @@
 #pragma once
 
+#include <map>
 #include <string>
 #include <unordered_map>
+#include <utility>
 
+#include "masticpin/attempts/expected_time.h"
 #include "masticpin/attempts/retry_ratio.h"
 #include "masticpin/execution/action_ledger.h"
 #include "masticpin/execution/home_dispatcher.h"
@@ -84,6 +87,13 @@
                          const ActionKey& key,
                          const CallerRequest& request,
                          const KindSpec& kind);
+  /// Waits for the end of an action that was dispatched here and measures its time.
+  CallerResponse AwaitDispatch(NodeCore::Section& section,
+                               const KindSpec& kind,
+                               LedgerEntry& entry,
+                               CallerWait& wait,
+                               TimePoint deadline);
+  ExpectedTime& ExpectedTimeOf(const KindSpec& kind);
   /// Waits for the end of a begun action.
   CallerResponse Await(NodeCore::Section& section,
                        LedgerEntry& entry,
@@ -96,7 +106,7 @@
   DispatchOrder MakeOrder(const KindSpec& kind,
                           Priority priority,
                           TimePoint deadline,
-                          wire::HttpRequest http) const;
+                          wire::HttpRequest http);
   CallerResponse ResponseOf(const ActionResult& result) const;
   CallerResponse ResponseOf(const BeginResult& begun) const;
   CallerResponse ErrorResponse(ErrorKind kind) const;
@@ -117,6 +127,8 @@
   HomeDispatcher* dispatcher = nullptr;
   Ref<const Manifest> manifest;
   std::unordered_map<std::uint64_t, PendingForward*> forwards;
+  /// By service and kind of the manifest, which bounds their number.
+  std::map<std::pair<std::string, std::string>, ExpectedTime> expected_times;
   std::uint64_t next_call_id = 1;
   std::size_t handling = 0;
   bool draining = false;
