Release open contexts when the inner call table ends

Cause: a context and the entries of its inner calls refer to each other, and only Close() ended the cycle. LeakSanitizer reported leaks in two tests of the inner call table, which end with open contexts; the destructor now closes them.

--- a/masticpin/execution/inner_call_table.cc
+++ b/masticpin/execution/inner_call_table.cc
@@ -27,6 +27,13 @@
 
 }  // namespace
 
+InnerCallTable::~InnerCallTable() {
+  // Contexts and their entries refer to each other; Close() ends the cycle.
+  while (!this->contexts.empty()) {
+    this->Close(*this->contexts.begin()->second);
+  }
+}
+
 Ref<ExecutionContext> InnerCallTable::Open(ContextTerms terms) {
   const Ref<ExecutionContext> context(
       new ExecutionContext(MakeToken(this->random), std::move(terms)));
--- a/masticpin/execution/inner_call_table.h
+++ b/masticpin/execution/inner_call_table.h
@@ -37,6 +37,9 @@
  public:
   /// `random` gives the context values, which must not be guessable: 128 bits each.
   explicit InnerCallTable(RandomSource& random) : random(random) {}
+  ~InnerCallTable();
+  InnerCallTable(const InnerCallTable&) = delete;
+  InnerCallTable& operator=(const InnerCallTable&) = delete;
 
   /// Opens the context of an execution that is about to start on the upstream.
   Ref<ExecutionContext> Open(ContextTerms terms);
