Refuse work below the thresholds of other instances as overloaded, with a delay

Change: the chooser says why it chose nothing; such a refusal is overloaded with 250 to 750 ms to wait, and a service without instances names 1 s.

--- a/masticpin/execution/home_dispatcher.cc
+++ b/masticpin/execution/home_dispatcher.cc
@@ -89,7 +89,7 @@
   const auto target =
       this->chooser.Choose(pending->request.service(), pending->tried, pending->priority);
   if (!target.has_value()) {
-    ActionResult result = pending->failure.value_or(ActionResult::Failed(ErrorKind::kNoInstance));
+    ActionResult result = pending->failure.value_or(this->chooser.LastRefusal());
     this->End(std::move(pending), std::move(result));
     return;
   }
--- a/masticpin/execution/instance_chooser.h
+++ b/masticpin/execution/instance_chooser.h
@@ -8,6 +8,7 @@
 
 #include "masticpin/admission/priority.h"
 #include "masticpin/base/instance_id.h"
+#include "masticpin/execution/action_result.h"
 
 namespace masticpin {
 
@@ -28,6 +29,9 @@
   virtual std::optional<ExecutionTarget> Choose(std::string_view service,
                                                 std::span<const std::string> exclude,
                                                 Priority priority) = 0;
+
+  /// Why the last Choose() returned nothing.
+  virtual ActionResult LastRefusal() const { return ActionResult::Failed(ErrorKind::kNoInstance); }
 };
 
 }  // namespace masticpin
--- a/net/executor.cc
+++ b/net/executor.cc
@@ -13,10 +13,6 @@
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
-/// Retry-after of a refusal that is based on thresholds of other instances. They are valid for
-/// 250 ms; another 250 ms spread the callers beyond the next report.
-constexpr Duration kInnerRetryAfter = milliseconds(500);
-
 void AddHeader(wire::HttpRequest& request, const char* name, const std::string& value) {
   wire::Header* header = request.add_headers();
   header->set_name(name);
@@ -120,7 +116,7 @@
       static_cast<std::uint64_t>(duration_cast<microseconds>(kind->deadline).count())));
   job->deadline = job->arrived + remaining;
   if (!this->InnerCallsAdmitted(*kind, job->priority)) {
-    this->FinishWithError(*job, ErrorKind::kInnerCallRefused, kInnerRetryAfter);
+    this->FinishWithError(*job, ErrorKind::kInnerCallRefused, this->router.ThresholdRetryAfter());
     return;
   }
   this->admission.Offer(*job);
--- a/net/instance_router.cc
+++ b/net/instance_router.cc
@@ -1,6 +1,19 @@
 #include "net/instance_router.h"
 
 namespace masticpin {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A threshold is valid for 250 ms, so an earlier retry meets the same refusal. The spread keeps
+/// the callers that were refused together from returning together.
+constexpr milliseconds kThresholdLife{250};
+constexpr milliseconds kThresholdRetrySpread{500};
+
+/// Instances that restart are back within seconds.
+constexpr milliseconds kNoInstanceRetryAfter{1000};
+
+}  // namespace
 
 std::optional<ExecutionTarget> InstanceRouter::Choose(std::string_view service,
                                                       std::span<const std::string> exclude,
@@ -24,6 +37,17 @@
   return ExecutionTarget{member->id, member->self ? this->epochs.Current() : member->epoch};
 }
 
+ActionResult InstanceRouter::LastRefusal() const {
+  return this->refused_by_threshold
+             ? ActionResult::Failed(ErrorKind::kOverloaded, this->ThresholdRetryAfter())
+             : ActionResult::Failed(ErrorKind::kNoInstance, kNoInstanceRetryAfter);
+}
+
+std::chrono::milliseconds InstanceRouter::ThresholdRetryAfter() const {
+  const auto spread = static_cast<std::uint64_t>(kThresholdRetrySpread.count());
+  return kThresholdLife + std::chrono::milliseconds(this->random.Below(spread));
+}
+
 bool InstanceRouter::Admits(std::string_view service, Priority priority) {
   SelectionRequest request;
   request.service = service;
--- a/net/instance_router.h
+++ b/net/instance_router.h
@@ -12,19 +12,26 @@
 class InstanceRouter : public InstanceChooser {
  public:
   /// `epochs` counts the epochs of this process.
-  InstanceRouter(FleetState& fleet, const EpochCounter& epochs) : fleet(fleet), epochs(epochs) {}
+  InstanceRouter(FleetState& fleet, const EpochCounter& epochs, RandomSource& random)
+      : fleet(fleet), epochs(epochs), random(random) {}
 
   std::optional<ExecutionTarget> Choose(std::string_view service,
                                         std::span<const std::string> exclude,
                                         Priority priority) override;
+  ActionResult LastRefusal() const override;
 
   /// Whether a request of `priority` that needs `service` can succeed, as far as is known. One in
   /// sixteen doubtful requests counts as admitted, so that old knowledge cannot persist.
   bool Admits(std::string_view service, Priority priority);
 
+  /// Delay for callers that are refused because of thresholds of other instances, spread at random.
+  std::chrono::milliseconds ThresholdRetryAfter() const;
+
  private:
   FleetState& fleet;
   const EpochCounter& epochs;
+  RandomSource& random;
+  bool refused_by_threshold = false;
   std::vector<InstanceId> excluded;
 };
 
--- a/net/node.cc
+++ b/net/node.cc
@@ -92,7 +92,7 @@
             this->timers,
             this->random,
             MakeFleetSettings(settings)),
-      router(this->fleet, this->mint.Epochs()),
+      router(this->fleet, this->mint.Epochs(), this->random),
       home(this->core,
            this->clock,
            this->mint,
