Shorten the watch so that readers confirm within the life of a confirmation

A waiting watch of 30 s confirms nothing, and nodes that hear no confirmation for 10 s read the service themselves: all nodes fell back every 10 s while nothing changed. OnlyReadersReadWhileNothingChanges fails with 30 s and passes with 5 s. 37 zones x 3 readers x (1/5 + 0.88) are 120 calls/s, goal 500.

The reader starts when the startup gate opens, because a node without the platform's list takes itself for a reader.

--- a/masticpin/configuration/configuration_reader.cc
+++ b/masticpin/configuration/configuration_reader.cc
@@ -66,7 +66,9 @@
 void ConfigurationReader::Call(TimePoint now) {
   const std::uint64_t version = this->store.VersionOf(this->document);
   const bool watches = this->role == ReaderRole::kReader && version != 0;
-  const Duration wait = watches ? this->settings.watch : Duration::zero();
+  const Duration watch =
+      now < this->throttled_until ? this->settings.throttled_watch : this->settings.watch;
+  const Duration wait = watches ? watch : Duration::zero();
   ++this->calls;
   this->call_deadline = now + wait + this->settings.answer_grace;
   this->call = this->client.Read(this->document, version, wait, [this](ServiceAnswer answer) {
@@ -96,7 +98,8 @@
     this->backoff = std::min(std::max(before * 2, first), longest);
     if (verdict == Verdict::kThrottled) {
       // Too many nodes take themselves for readers, for example because the platform's list is
-      // missing; only a long back-off brings their calls below the rate.
+      // missing; only a long back-off and long watches bring their calls below the rate.
+      this->throttled_until = now + this->settings.throttled_life;
       this->backoff =
           std::min(std::max(before * 2, longest), this->readers.GetSettings().longest_backoff);
     }
--- a/masticpin/configuration/configuration_reader.h
+++ b/masticpin/configuration/configuration_reader.h
@@ -13,8 +13,15 @@
 namespace masticpin {
 
 struct ConfigurationReaderSettings {
-  /// Longest wait of one watch; each renewal is one call at the service.
-  Duration watch = std::chrono::seconds(30);
+  /// Longest wait of one watch; each renewal is one call at the service, and one confirmation. With
+  /// the time in which a confirmation spreads it must stay below
+  /// ReaderSelectionSettings::confirmation_life, or all other nodes would fall back between two
+  /// renewals.
+  Duration watch = std::chrono::seconds(5);
+  /// Wait of a watch for `throttled_life` after a 429: there are far too many readers then, so that
+  /// confirmations are frequent all the same.
+  Duration throttled_watch = std::chrono::seconds(30);
+  Duration throttled_life = std::chrono::minutes(10);
   /// Extra time for an answer before the call counts as lost.
   Duration answer_grace = std::chrono::seconds(2);
   /// How often the role is checked while nothing else happens.
@@ -80,6 +87,8 @@
   ReaderRole role = ReaderRole::kNone;
   Duration backoff{};
   TimePoint next_call{};
+  // End of the long watches after the last 429.
+  TimePoint throttled_until{};
   // When the call in progress counts as lost.
   TimePoint call_deadline{};
   std::uint64_t calls = 0;
--- a/masticpin/fleet/fleet_state.cc
+++ b/masticpin/fleet/fleet_state.cc
@@ -71,7 +71,6 @@
   this->pause_detector.Start();
   this->gossip.Start();
   this->gate.Start();
-  this->reader.Start();
   this->timers.Schedule(*this, this->clock.Now() + this->settings.ping_check);
 }
 
@@ -236,6 +235,12 @@
   if (this->pause_detector.Check()) {
     return;
   }
+  if (!this->reader_started && this->gate.Open()) {
+    // Earlier the platform's list may be missing, and a node that knows only itself takes itself
+    // for a reader. The gate reads the service until then.
+    this->reader_started = true;
+    this->reader.Start();
+  }
   this->ExpirePings(now);
   this->PingMembersInUse(now);
 }
--- a/masticpin/fleet/fleet_state.h
+++ b/masticpin/fleet/fleet_state.h
@@ -63,8 +63,8 @@
              RandomSource& random,
              Settings settings = {});
 
-  /// Starts timers, the startup gate and the reader. The first list of the platform should have
-  /// been applied.
+  /// Starts timers and the startup gate; the reader follows when the gate opens. The first list of
+  /// the platform should have been applied.
   void Start();
 
   /// Takes over the sender's state and handles the bodies of these modules: digest, document
@@ -144,6 +144,7 @@
   TimePoint recheck_until{};
   bool rechecking = false;
   bool recheck_answered = false;
+  bool reader_started = false;
 };
 
 }  // namespace masticpin
--- a/masticpin/fleet/fleet_state_test.cc
+++ b/masticpin/fleet/fleet_state_test.cc
@@ -520,6 +520,19 @@
   EXPECT_LT(fleet->service.BusiestSecond(from), 50U);
 }
 
+// Guards against nodes that read the service while nothing changes although the readers are well:
+// with a watch of 30 s the readers confirmed the versions less often than every 10 s.
+TEST(FleetStateTest, OnlyReadersReadWhileNothingChanges) {
+  const auto fleet = MakeSettledFleet(3);
+  fleet->Run(seconds(60));
+  const std::vector<std::size_t> readers = ReadersOf(*fleet);
+  EXPECT_EQ(readers.size(), 9U);
+  for (std::size_t i = 0; i < fleet->nodes.size(); ++i) {
+    const bool reader = std::find(readers.begin(), readers.end(), i) != readers.end();
+    EXPECT_EQ(fleet->State(i).Reader().Calls() > 0, reader) << i;
+  }
+}
+
 // Each node sends one request to service s0 in each step, as its selector says; counts those for
 // node 0 (of service s0) later than `bound` after it began to leave.
 class LeaveCounter {
