--- a/net/node.cc
+++ b/net/node.cc
@@ -18,6 +18,9 @@
 /// Extra time for work in progress after the longest deadline.
 constexpr Duration kDrainGrace = std::chrono::seconds(1);
 
+/// Recovery after a surge has to take less than 2 s through chains of several queues.
+constexpr Duration kLongestQueueWait = milliseconds(400);
+
 /// How often a draining node looks whether it is done.
 constexpr auto kDrainCheck = milliseconds(20);
 
@@ -25,6 +28,19 @@
   return "tcp://" + address.ToString();
 }
 
+/// Longest wait for admission: a quarter of the shortest deadline, so that most of a caller's time
+/// is left for the work, but at least the time that keeps the order of importance (see
+/// AdmissionSettings) and short enough for a quick recovery after a surge.
+Duration QueueWaitBound(const Manifest& manifest, const std::string& service) {
+  Duration shortest = kLongestQueueWait * 4;
+  for (const KindSpec& kind : manifest.Kinds()) {
+    if (kind.service == service) {
+      shortest = std::min(shortest, kind.deadline);
+    }
+  }
+  return std::max(shortest / 4, AdmissionSettings().hold_down);
+}
+
 Member MakeSelf(const NodeSettings& settings, std::uint64_t incarnation, TimePoint now) {
   Member self;
   self.id = {settings.name, incarnation};
@@ -462,10 +478,11 @@
 
   // The first manifest makes the executor; later ones change its settings.
   if (this->admission == nullptr) {
-    AdmissionSettings settings;
-    settings.ceiling = service.slots;
-    this->admission =
-        std::make_unique<AdmissionController>(settings, this->clock, this->timers, this->random);
+    AdmissionSettings admission_settings;
+    admission_settings.ceiling = service.slots;
+    admission_settings.queue_wait_bound = QueueWaitBound(*this->manifest, this->settings.service);
+    this->admission = std::make_unique<AdmissionController>(admission_settings, this->clock,
+                                                            this->timers, this->random);
     ReplySender& replies = *this;
     this->executor = std::make_unique<Executor>(
         this->core, this->clock, this->executions, *this->admission, this->inner_calls,
