--- /dev/null
+++ b/samples/consumer/consumer_main.cc
@@ -0,0 +1,57 @@
+// Uses the installed headers of the manifest, the admission and the generated messages.
+
+#include <iostream>
+
+#include "masticpin/admission/admission_controller.h"
+#include "masticpin/base/timer_queue.h"
+#include "masticpin/execution/key_mint.h"
+#include "masticpin/manifest/manifest_parser.h"
+#include "masticpin/wire/envelope.pb.h"
+
+namespace {
+
+class FixedClock : public masticpin::Clock {
+ public:
+  masticpin::TimePoint Now() const override {
+    return masticpin::TimePoint(std::chrono::seconds(1));
+  }
+};
+
+class CountingRandom : public masticpin::RandomSource {
+ public:
+  std::uint64_t Next() override { return ++this->last; }
+
+ private:
+  std::uint64_t last = 0;
+};
+
+/// Returns whether each used part of the library works; each needs another of its dependencies.
+bool UseLibrary() {
+  const auto parsed = masticpin::ManifestParser::Parse(
+      "[manifest]\nversion = 7\nsite = example\n"
+      "[service ballot]\nslots = 2\nconnections = 10\n",
+      "text");
+
+  const FixedClock clock;
+  CountingRandom random;
+  masticpin::KeyMint mint(masticpin::InstanceId{"ballot-1", 5}, clock, random);
+  const masticpin::ActionKey key = mint.Mint();
+
+  masticpin::TimerQueue timers;
+  const masticpin::AdmissionController controller({}, clock, timers, random);
+
+  masticpin::wire::Envelope envelope;
+  envelope.set_epoch(3);
+  masticpin::wire::Envelope copy;
+  return parsed.Ok() && parsed.manifest->Version() == 7 && !mint.Verify(key).has_value() &&
+         controller.Statistics().offered == 0 &&
+         copy.ParseFromString(envelope.SerializeAsString()) && copy.epoch() == 3;
+}
+
+}  // namespace
+
+int main() {
+  const bool works = UseLibrary();
+  std::cout << (works ? "masticpin works\n" : "masticpin does not work as installed\n");
+  return works ? 0 : 1;
+}
