--- a/load/latency_main.cc
+++ b/load/latency_main.cc
@@ -43,12 +43,14 @@
 };
 
 /// Sends the calls of one caller. With a rate, latency counts from the planned time of the call.
-void RunCaller(httplib::Client& client, std::vector<double>& latencies, std::atomic<int>& failures) {
-  const auto interval = FLAGS_rate == 0
-                            ? Clock::duration::zero()
-                            : std::chrono::duration_cast<Clock::duration>(
-                                  std::chrono::seconds(FLAGS_threads)) /
-                                  FLAGS_rate;
+void RunCaller(httplib::Client& client,
+               std::vector<double>& latencies,
+               std::atomic<int>& failures) {
+  const auto interval =
+      FLAGS_rate == 0
+          ? Clock::duration::zero()
+          : std::chrono::duration_cast<Clock::duration>(std::chrono::seconds(FLAGS_threads)) /
+                FLAGS_rate;
   Clock::time_point planned = Clock::now();
   for (int i = 0; i < FLAGS_calls; ++i) {
     if (FLAGS_rate == 0) {
--- a/net/testing/test_site.cc
+++ b/net/testing/test_site.cc
@@ -37,7 +37,7 @@
 
 }  // namespace
 
-TestServer::TestServer(Handler handler) : server(HttpServerOptions()) {
+TestServer::TestServer(const Handler& handler) : server(HttpServerOptions()) {
   this->server.Get("/.*", handler);
   this->server.Post("/.*", handler);
   this->port = this->server.Bind("127.0.0.1:0");
--- a/net/testing/test_site.h
+++ b/net/testing/test_site.h
@@ -19,7 +19,7 @@
  public:
   using Handler = std::function<void(const httplib::Request&, httplib::Response&)>;
 
-  explicit TestServer(Handler handler);
+  explicit TestServer(const Handler& handler);
   ~TestServer();
 
   int Port() const { return this->port; }
