Measure the latency that a node adds, without bursts of the tool

Cause: the first figures (1.1 to 1.9 ms added at the median) came from callers that all sent at the same moment; spans showed 50 us outside of the execution. Change: the callers start at different points of the interval.

--- a/load/latency_main.cc
+++ b/load/latency_main.cc
@@ -44,6 +44,7 @@
 
 /// Sends the calls of one caller. With a rate, latency counts from the planned time of the call.
 void RunCaller(httplib::Client& client,
+               std::size_t index,
                std::vector<double>& latencies,
                std::atomic<int>& failures) {
   const auto interval =
@@ -51,7 +52,9 @@
           ? Clock::duration::zero()
           : std::chrono::duration_cast<Clock::duration>(std::chrono::seconds(FLAGS_threads)) /
                 FLAGS_rate;
-  Clock::time_point planned = Clock::now();
+  // Callers start at different points of the interval; together they would send bursts.
+  Clock::time_point planned =
+      Clock::now() + interval * static_cast<int>(index) / FLAGS_threads - interval;
   for (int i = 0; i < FLAGS_calls; ++i) {
     if (FLAGS_rate == 0) {
       planned = Clock::now();
@@ -73,7 +76,7 @@
   std::vector<std::thread> threads;
   const Clock::time_point started = Clock::now();
   for (std::size_t i = 0; i < clients.size(); ++i) {
-    threads.emplace_back([&, i] { RunCaller(clients[i], latencies[i], failures); });
+    threads.emplace_back([&, i] { RunCaller(clients[i], i, latencies[i], failures); });
   }
   for (std::thread& thread : threads) {
     thread.join();
