Wait for the configuration before the tests of whole nodes begin

Cause: two tests began before the startup gate was open and failed in a run of the whole check (no limit in the status, version 0). A port that a test chose could be taken by an outgoing connection (seen once under the thread sanitizer). Change: the fixture waits until all nodes serve, and takes ports below the range of outgoing connections.

--- a/net/testing/test_site.cc
+++ b/net/testing/test_site.cc
@@ -19,16 +19,23 @@
 
 constexpr char kLoopback[] = "127.0.0.1";
 
+/// Ports below the range that the system gives to outgoing connections: a port of that range can be
+/// taken between this check and the start of a node.
 int FreePort() {
-  const int socket_fd = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof(address);
-  (void)::bind(socket_fd, reinterpret_cast<sockaddr*>(&address), size);
-  (void)::getsockname(socket_fd, reinterpret_cast<sockaddr*>(&address), &size);
-  ::close(socket_fd);
-  return ntohs(address.sin_port);
+  static std::atomic<int> next = 10000 + static_cast<int>(::getpid() % 8000);
+  for (;;) {
+    const int port = next++;
+    const int socket_fd = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    const int bound = ::bind(socket_fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    ::close(socket_fd);
+    if (bound == 0) {
+      return port;
+    }
+  }
 }
 
 SocketAddress Loopback(int port) {
@@ -89,6 +96,10 @@
   }
   for (auto& [name, instance] : this->instances) {
     WaitUntil([this, &name = name] {
+      // The gate can open after the members are known; before, there is no configuration.
+      if (this->Status(name, "state") != "\"serving\"") {
+        return false;
+      }
       const auto members = nlohmann::json::parse(this->Status(name, "members"));
       return members.size() == this->instances.size() &&
              std::all_of(members.begin(), members.end(),
