Refuse a manifest in which an idempotent kind calls one that is not

Cause: an idempotent request may be retried at another instance, and each run has inner calls of its own, so a non-idempotent inner call could run twice. Change: the parser reports it; the test failed before. The case Cycle of the mistakes broke the new rule as well, so its kinds are both non-idempotent now and it still expects exactly one problem.

--- a/masticpin/manifest/manifest_parser.cc
+++ b/masticpin/manifest/manifest_parser.cc
@@ -228,6 +228,7 @@
       for (const KindRef& ref : kind.spec.calls) {
         const auto callee = this->index.find(ref);
         if (callee != this->index.end()) {
+          this->CheckRepeatable(kind, this->kinds[callee->second]);
           kind.callees.push_back(callee->second);
           this->kinds[callee->second].callers.push_back(caller);
         } else if (!is_service(ref.service)) {
@@ -242,6 +243,15 @@
     }
   }
 
+  // A kind that may run more than once would repeat its inner calls.
+  void CheckRepeatable(const ParsedKind& kind, const ParsedKind& callee) {
+    if (kind.spec.idempotent && !callee.spec.idempotent) {
+      this->problems.Add(kind.calls_line, SectionOf(kind), "calls",
+                         "an idempotent kind must not call " + callee.spec.service + "/" +
+                             callee.spec.name + ", which is not idempotent");
+    }
+  }
+
   // Computes the costs from the leaves upwards (Kahn's algorithm). It uses no recursion, because a
   // manifest may contain a chain that is longer than the stack allows.
   void ComputeCosts() {
--- a/masticpin/manifest/manifest_parser_test.cc
+++ b/masticpin/manifest/manifest_parser_test.cc
@@ -53,6 +53,18 @@
   return text;
 }
 
+// Guards against an inner call that runs twice because its parent, which may run more than once, is
+// retried.
+TEST(ManifestParserTest, IdempotentKindMustNotCallOneThatIsNot) {
+  const std::string text = Replace(
+      Replace(kValid, "idempotent = no", "idempotent = yes"),
+      "idempotent = yes\ndeadline_ms = 1000\nattempts = 3\ncaller_tries = 10\nkey = optional",
+      "idempotent = no\ndeadline_ms = 1000\nattempts = 3\ncaller_tries = 10\nkey = required");
+  const ManifestParseResult result = ManifestParser::Parse(text, "m.ini");
+  ASSERT_EQ(result.problems.size(), 2U) << AllProblems(result);
+  EXPECT_NE(AllProblems(result).find("must not call dues/standing"), std::string::npos);
+}
+
 // Guards against values that are read into the wrong field or not at all.
 TEST(ManifestParserTest, ReadsAllFields) {
   const ManifestParseResult result = ManifestParser::Parse(kValid, "m.ini");
@@ -136,8 +148,12 @@
                 "SERVICE/NAME"},
         Mistake{"CallsEmptyItem", "calls = dues/standing", "calls = dues/standing,", 18, kVote,
                 "calls", "SERVICE/NAME"},
-        Mistake{"Cycle", "key = optional", "key = optional\ncalls = ballot/vote", 18, kVote,
-                "calls", "ballot/vote -> dues/standing -> ballot/vote"},
+        Mistake{"Cycle",
+                "idempotent = yes\ndeadline_ms = 1000\nattempts = 3\ncaller_tries = 10\n"
+                "key = optional",
+                "idempotent = no\ndeadline_ms = 1000\nattempts = 3\ncaller_tries = 10\n"
+                "key = required\ncalls = ballot/vote",
+                18, kVote, "calls", "ballot/vote -> dues/standing -> ballot/vote"},
         Mistake{"SelfCycle", "key = optional", "key = optional\ncalls = dues/standing", 27,
                 "kind dues/standing", "calls", "dues/standing -> dues/standing"},
         Mistake{"NegativeNumber", "slots = 80", "slots = -80", 5, kBallot, "slots",
@@ -287,6 +303,9 @@
     const auto calls = kinds.empty() ? 0 : *rc::gen::inRange(0, 4);
     for (int call = 0; call < calls; ++call) {
       const KindSpec& callee = kinds[*rc::gen::inRange<std::size_t>(0, kinds.size())];
+      if (kind.idempotent && !callee.idempotent) {
+        continue;
+      }
       kind.calls.push_back({callee.service, callee.name});
       kind.cost += callee.cost;
     }
