Bound the time left of a message in one place

Cause: the home and the executor each limited the time that another node sent to the deadline of the kind, once with the same minimum taken twice. Change: RemainingTime() serves both; behaviour stays as it is.

--- a/net/executor.cc
+++ b/net/executor.cc
@@ -5,6 +5,7 @@
 
 #include "masticpin/error/answer_table.h"
 #include "masticpin/wire/http_headers.h"
+#include "net/remaining_time.h"
 
 namespace masticpin {
 namespace {
@@ -113,10 +114,8 @@
   job->priority.importance =
       static_cast<std::uint8_t>(std::min<std::uint32_t>(request.importance(), kMaxImportance));
   job->priority.rank = static_cast<std::uint16_t>(request.rank());
-  // A deadline beyond that of the kind is not valid; the bound also keeps the sum from overflow.
-  const Duration remaining = microseconds(std::min<std::uint64_t>(
-      request.remaining_us(),
-      static_cast<std::uint64_t>(duration_cast<microseconds>(kind->deadline).count())));
+  // A deadline beyond that of the kind is not valid.
+  const Duration remaining = RemainingTime(request.remaining_us(), kind->deadline);
   job->deadline = job->arrived + remaining;
   if (!this->InnerCallsAdmitted(*kind, job->priority)) {
     this->FinishWithError(*job, ErrorKind::kInnerCallRefused, this->router.ThresholdRetryAfter());
--- a/net/home.cc
+++ b/net/home.cc
@@ -5,6 +5,7 @@
 
 #include "masticpin/error/answer_table.h"
 #include "net/http_connection.h"
+#include "net/remaining_time.h"
 
 namespace masticpin {
 namespace {
@@ -354,11 +355,7 @@
     return;
   }
   (void)wait.release();
-  const Duration remaining = std::min<Duration>(
-      kind->deadline,
-      microseconds(std::min<std::uint64_t>(
-          request.remaining_us(),
-          static_cast<std::uint64_t>(duration_cast<microseconds>(kind->deadline).count()))));
+  const Duration remaining = RemainingTime(request.remaining_us(), kind->deadline);
   DispatchOrder order = this->MakeOrder(*kind, {kind->importance, key->Rank()},
                                         this->clock.Now() + remaining, request.request());
   order.action = request.action_key();
--- /dev/null
+++ b/net/remaining_time.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+
+#include "masticpin/base/time.h"
+
+namespace masticpin {
+
+/// Returns the time left that another node sent, at most `bound`. The bound is applied before the
+/// conversion, so that no value of the sender overflows.
+inline Duration RemainingTime(std::uint64_t remaining_us, Duration bound) {
+  using std::chrono::microseconds;
+  const auto most = std::chrono::duration_cast<microseconds>(bound).count();
+  return microseconds(std::min(remaining_us, static_cast<std::uint64_t>(most)));
+}
+
+}  // namespace masticpin
