--- a/masticpin/admission/admission_controller.cc
+++ b/masticpin/admission/admission_controller.cc
@@ -257,9 +257,11 @@
   // would otherwise refuse every request, and no completion could correct it.
   const Duration remaining = request.deadline - now;
   const Duration useful = remaining - std::min(this->limiter.ExpectedServiceTime(), remaining / 2);
-  TimePoint expiry = now + std::min(useful, this->settings.queue_wait_bound);
-  request.expiry_kind = useful < this->settings.queue_wait_bound ? ErrorKind::kExpiredBeforeStart
-                                                                 : ErrorKind::kOverloaded;
+  const Duration bound = request.wait_bound == Duration::zero()
+                             ? this->settings.queue_wait_bound
+                             : std::max(request.wait_bound, this->settings.hold_down);
+  TimePoint expiry = now + std::min(useful, bound);
+  request.expiry_kind = useful < bound ? ErrorKind::kExpiredBeforeStart : ErrorKind::kOverloaded;
   if (this->unreachable && !this->CanAdmit(request, now)) {
     // Refuse quickly. A request that could be the test now keeps its wait, so that it is not
     // refused before Process() chooses the test.
--- a/masticpin/admission/admission_request.h
+++ b/masticpin/admission/admission_request.h
@@ -47,6 +47,9 @@
   Priority priority;
   /// The caller's deadline. Must not change between Offer() and the end of the request.
   TimePoint deadline{};
+  /// Longest wait in the queue; 0 for the bound of the controller's settings. Must not change
+  /// between Offer() and the end of the request.
+  Duration wait_bound{};
 
  private:
   friend class AdmissionQueue;
--- a/masticpin/admission/admission_settings.h
+++ b/masticpin/admission/admission_settings.h
@@ -19,6 +19,13 @@
   std::uint32_t round_samples = 100;
   /// Age at which the reference latency is measured again at half the limit.
   Duration reference_window = std::chrono::seconds(10);
+  /// Share of the ceiling at which the limit starts. A quarter suits an upstream whose capacity is
+  /// only configured; 1 suits one that publishes its slots.
+  double initial_share = 0.25;
+  /// Whether response times lower the limit. They must not where they contain calls to other
+  /// services: a slow service would lower the limits of all that call it. A refusal by the upstream
+  /// lowers the limit in any case.
+  bool use_latency = true;
 };
 
 /// Settings of an AdmissionController.
--- a/masticpin/admission/concurrency_limiter.cc
+++ b/masticpin/admission/concurrency_limiter.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 
 namespace masticpin {
 
@@ -50,6 +51,10 @@
 
 void ConcurrencyLimiter::SetCeiling(std::uint32_t new_ceiling) {
   assert(new_ceiling >= 1);
+  // A limit that starts at the ceiling and stands there follows it upwards.
+  if (this->settings.initial_share >= 1 && this->limit >= this->ceiling) {
+    this->limit = new_ceiling;
+  }
   this->ceiling = new_ceiling;
   this->limit = std::min<double>(this->limit, new_ceiling);
   this->saved_limit = std::min<double>(this->saved_limit, new_ceiling);
@@ -72,6 +77,10 @@
     this->limit = std::min<double>(this->limit + growth, this->ceiling);
   }
 
+  if (!this->settings.use_latency) {
+    return;
+  }
+
   // Requests admitted under the full limit do not count in a measurement at half the limit.
   if (this->measuring && now < this->measuring_from) {
     return;
@@ -93,7 +102,7 @@
 }
 
 void ConcurrencyLimiter::Restart() {
-  this->limit = std::max(this->ceiling / 4, 1U);
+  this->limit = std::max(std::floor(this->ceiling * this->settings.initial_share), 1.0);
   this->fast_until = this->ceiling;
   this->reference = Duration::zero();
   this->congested = false;
--- a/masticpin/admission/concurrency_limiter.h
+++ b/masticpin/admission/concurrency_limiter.h
@@ -7,7 +7,7 @@
 
 namespace masticpin {
 
-/// Adaptive concurrency limit between 1 and a ceiling. It starts at a quarter of the ceiling.
+/// Adaptive concurrency limit between 1 and a ceiling. It starts at a share of the ceiling.
 /// Not thread-safe.
 class ConcurrencyLimiter {
  public:
--- /dev/null
+++ b/masticpin/execution/running_request_table.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "masticpin/execution/running_request.h"
+
+namespace masticpin {
+
+/// The requests that the own instance runs, by their ids. A call of the instance finds the request
+/// that caused it by its own id, which upstreams make by appending a dot and a part of their own to
+/// the id of the request. That is a hint: a call whose id says nothing is handled like a request of
+/// a caller. Not thread-safe.
+class RunningRequestTable {
+ public:
+  /// `running` must stay in place until Remove(). A second request with the same id is not added.
+  void Add(std::string_view id, RunningRequest& running);
+  void Remove(std::string_view id, const RunningRequest& running);
+
+  /// Returns the request that caused the call `id`, or nullptr.
+  RunningRequest* FindParent(std::string_view id) const;
+
+  /// Returns the part of `id` that names the first request of the chain.
+  static std::string_view RootOf(std::string_view id) { return id.substr(0, id.find('.')); }
+
+ private:
+  struct StringHash {
+    using is_transparent = void;  // NOLINT(readability-identifier-naming)
+    std::size_t operator()(std::string_view text) const {
+      return std::hash<std::string_view>()(text);
+    }
+  };
+
+  std::unordered_map<std::string, RunningRequest*, StringHash, std::equal_to<>> requests;
+};
+
+}  // namespace masticpin
--- /dev/null
+++ b/masticpin/routing/instance_directory.cc
@@ -0,0 +1,107 @@
+#include "masticpin/routing/instance_directory.h"
+
+namespace masticpin {
+namespace {
+
+/// Removals that are remembered. Only news that overtake each other need them; far more instances
+/// than any fleet loses within the lag of the registry's stale reads.
+constexpr std::size_t kMaxRemovals = 4096;
+
+}  // namespace
+
+void InstanceDirectory::Apply(const UpstreamInstance& instance) {
+  const auto removal = this->removed.find(instance.name);
+  if (removal != this->removed.end()) {
+    if (removal->second >= instance.revision) {
+      return;
+    }
+    this->removed.erase(removal);
+  }
+  UpstreamInstance& known_instance = this->instances[instance.name];
+  if (known_instance.revision >= instance.revision) {
+    return;
+  }
+  known_instance = instance;
+  for (InstanceDirectoryObserver* observer : this->observers) {
+    observer->OnInstance(known_instance);
+  }
+}
+
+void InstanceDirectory::Remove(std::string_view name, std::uint64_t revision) {
+  const auto found = this->instances.find(name);
+  if (found != this->instances.end() && found->second.revision > revision) {
+    return;
+  }
+  if (this->removed.size() >= kMaxRemovals) {
+    this->removed.clear();
+  }
+  this->removed[std::string(name)] = revision;
+  if (found == this->instances.end()) {
+    return;
+  }
+  for (InstanceDirectoryObserver* observer : this->observers) {
+    observer->OnInstanceRemoved(name);
+  }
+  this->instances.erase(found);
+}
+
+void InstanceDirectory::ApplyList(const std::vector<UpstreamInstance>& list,
+                                  std::uint64_t revision,
+                                  TimePoint now) {
+  this->known = true;
+  std::unordered_map<std::string_view, bool> listed;
+  for (const UpstreamInstance& instance : list) {
+    listed.emplace(instance.name, true);
+    this->Apply(instance);
+  }
+  if (this->AreMissingHeldBack(now)) {
+    return;
+  }
+  std::vector<std::string> missing;
+  for (const auto& [name, instance] : this->instances) {
+    if (!listed.contains(name) && instance.revision <= revision) {
+      missing.push_back(name);
+    }
+  }
+  for (const std::string& name : missing) {
+    this->Remove(name, revision);
+  }
+}
+
+void InstanceDirectory::ApplyMissing(std::string_view name,
+                                     std::uint64_t revision,
+                                     TimePoint now) {
+  if (!this->AreMissingHeldBack(now)) {
+    this->Remove(name, revision);
+  }
+}
+
+bool InstanceDirectory::AreMissingHeldBack(TimePoint now) {
+  if (this->was_unreachable && now - this->last_unreachable >= this->settings.reappearance_time) {
+    this->was_unreachable = false;
+  }
+  return this->was_unreachable;
+}
+
+void InstanceDirectory::OnRegistryUnreachable(TimePoint now) {
+  this->was_unreachable = true;
+  this->last_unreachable = now;
+}
+
+const UpstreamInstance* InstanceDirectory::Find(std::string_view name) const {
+  const auto found = this->instances.find(name);
+  return found == this->instances.end() ? nullptr : &found->second;
+}
+
+const UpstreamInstance* InstanceDirectory::FindByAddress(const SocketAddress& address) const {
+  const UpstreamInstance* latest = nullptr;
+  for (const auto& [name, instance] : this->instances) {
+    if (instance.address == address &&
+        (latest == nullptr || latest->incarnation < instance.incarnation)) {
+      latest = &instance;
+    }
+  }
+  return latest;
+}
+
+}  // namespace masticpin
--- /dev/null
+++ b/masticpin/routing/instance_directory.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "masticpin/base/time.h"
+#include "masticpin/routing/instance_directory_observer.h"
+#include "masticpin/routing/upstream_instance.h"
+
+namespace masticpin {
+
+struct InstanceDirectorySettings {
+  /// Time for which removals are held back after the registry was unreachable. Entries that lapsed
+  /// meanwhile are written again within two seconds of its return if their instance lives.
+  Duration reappearance_time = std::chrono::milliseconds(2500);
+};
+
+/// The instances of the deployment, in the order of the registry's revisions. News may come from
+/// several sources and out of order: an entry never gives way to one of a lower revision. Not
+/// thread-safe.
+class InstanceDirectory {
+ public:
+  using Settings = InstanceDirectorySettings;
+
+  explicit InstanceDirectory(Settings settings = {}) : settings(settings) {}
+  InstanceDirectory(const InstanceDirectory&) = delete;
+  InstanceDirectory& operator=(const InstanceDirectory&) = delete;
+
+  /// The observer must outlive the directory.
+  void AddObserver(InstanceDirectoryObserver& observer) { this->observers.push_back(&observer); }
+
+  /// Takes over one entry unless a newer one, or a newer removal, is known.
+  void Apply(const UpstreamInstance& instance);
+
+  /// The registry removed the entry at `revision`.
+  void Remove(std::string_view name, std::uint64_t revision);
+
+  /// Takes over the whole list as it was at `revision` or later: applies all entries and removes
+  /// those that it does not contain, except those that are newer than the list.
+  void ApplyList(const std::vector<UpstreamInstance>& list, std::uint64_t revision, TimePoint now);
+
+  /// The registry has no entry of this name at `revision`. Like a list without it.
+  void ApplyMissing(std::string_view name, std::uint64_t revision, TimePoint now);
+
+  /// The registry did not answer. Removals that a later list implies are held back for a while.
+  void OnRegistryUnreachable(TimePoint now);
+
+  /// Returns the instance of this name, or nullptr.
+  const UpstreamInstance* Find(std::string_view name) const;
+
+  /// Returns the instance that listens at `address`, or nullptr. Of several with one address, which
+  /// happens while an address changes its owner, the latest start counts.
+  const UpstreamInstance* FindByAddress(const SocketAddress& address) const;
+
+  /// Whether a list was received.
+  bool IsKnown() const { return this->known; }
+
+  std::size_t Size() const { return this->instances.size(); }
+
+ private:
+  struct StringHash {
+    using is_transparent = void;  // NOLINT(readability-identifier-naming)
+    std::size_t operator()(std::string_view text) const {
+      return std::hash<std::string_view>()(text);
+    }
+  };
+
+  /// Whether entries that are missing may come back, because the registry was away.
+  bool AreMissingHeldBack(TimePoint now);
+
+  const Settings settings;
+  std::unordered_map<std::string, UpstreamInstance, StringHash, std::equal_to<>> instances;
+  /// Revision of the removal by name.
+  std::unordered_map<std::string, std::uint64_t, StringHash, std::equal_to<>> removed;
+  std::vector<InstanceDirectoryObserver*> observers;
+  bool known = false;
+  bool was_unreachable = false;
+  TimePoint last_unreachable{};
+};
+
+}  // namespace masticpin
--- /dev/null
+++ b/masticpin/routing/instance_placer.cc
@@ -0,0 +1,246 @@
+#include "masticpin/routing/instance_placer.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace masticpin {
+
+InstancePlacer::InstancePlacer(std::string own_zone,
+                               const Clock& clock,
+                               RandomSource& random,
+                               Settings settings)
+    : own_zone(std::move(own_zone)), clock(clock), random(random), settings(settings) {}
+
+std::string_view InstancePlacer::Choose(std::string_view service,
+                                        std::span<const std::string> excluded) {
+  const auto found = this->services.find(service);
+  if (found == this->services.end()) {
+    return {};
+  }
+  const TimePoint now = this->clock.Now();
+
+  // Find the best instance of the own zone and of all others. Equal scores are decided by the
+  // starting point, which is random, so that idle instances share the requests.
+  const Candidates& candidates = found->second;
+  const Candidate* best_own = nullptr;
+  const Candidate* best_other = nullptr;
+  const Candidate* last_resort = nullptr;
+  double own_score = 0;
+  double other_score = 0;
+  const std::size_t count = candidates.size();
+  const std::size_t start = count == 0 ? 0 : this->random.Below(count);
+  for (std::size_t i = 0; i < count; ++i) {
+    const Candidate& candidate = *candidates[(start + i) % count];
+    if (std::find(excluded.begin(), excluded.end(), candidate.name) != excluded.end()) {
+      continue;
+    }
+    if (!this->IsUsable(candidate, now)) {
+      // While every node is in back-off, the one whose back-off ends first is tried.
+      if (!candidate.draining && !candidate.node_leaving &&
+          (last_resort == nullptr || candidate.retry_at < last_resort->retry_at)) {
+        last_resort = &candidate;
+      }
+      continue;
+    }
+    const double score = this->Score(candidate, now);
+    const bool own = candidate.zone == this->own_zone;
+    const Candidate*& best = own ? best_own : best_other;
+    double& best_score = own ? own_score : other_score;
+    if (best == nullptr || score < best_score) {
+      best = &candidate;
+      best_score = score;
+    }
+  }
+
+  // Stay in the zone as long as it costs no waiting.
+  const Candidate* chosen = best_own;
+  if (best_own == nullptr || (best_other != nullptr && own_score > this->settings.zone_utilisation &&
+                              other_score + this->settings.zone_margin < own_score)) {
+    chosen = best_other;
+  }
+  if (chosen == nullptr) {
+    chosen = last_resort;
+  }
+  return chosen == nullptr ? std::string_view() : std::string_view(chosen->name);
+}
+
+void InstancePlacer::OnSent(std::string_view name) {
+  Candidate* candidate = this->Find(name);
+  if (candidate != nullptr) {
+    ++candidate->outstanding;
+    ++candidate->sent_since_report;
+  }
+}
+
+void InstancePlacer::OnOutcome(std::string_view name, PlacementOutcome outcome) {
+  Candidate* candidate = this->Find(name);
+  if (candidate == nullptr) {
+    return;
+  }
+  if (candidate->outstanding > 0) {
+    --candidate->outstanding;
+  }
+  const TimePoint now = this->clock.Now();
+  switch (outcome) {
+    case PlacementOutcome::kGood:
+    case PlacementOutcome::kFailed: {
+      const double sample = outcome == PlacementOutcome::kFailed ? 1 : 0;
+      const double share = this->FailureShare(*candidate, now);
+      candidate->failure_share = share + this->settings.failure_weight * (sample - share);
+      candidate->failure_at = now;
+      candidate->backoff = Duration::zero();
+      break;
+    }
+    case PlacementOutcome::kNodeLost:
+      // The requests of one lost connection fail together; they count as one failure.
+      if (now >= candidate->retry_at) {
+        candidate->backoff =
+            std::clamp(candidate->backoff * 2, this->settings.first_backoff,
+                       this->settings.longest_backoff);
+        candidate->retry_at = now + candidate->backoff;
+      }
+      candidate->load_known = false;
+      break;
+    case PlacementOutcome::kRefused:
+      candidate->backoff = Duration::zero();
+      break;
+    case PlacementOutcome::kNone:
+      break;
+  }
+}
+
+void InstancePlacer::OnLoad(std::string_view name, const LoadReport& load) {
+  Candidate* candidate = this->Find(name);
+  if (candidate == nullptr) {
+    return;
+  }
+  candidate->load = load;
+  candidate->load_at = this->clock.Now();
+  candidate->load_known = true;
+  candidate->sent_since_report = 0;
+  candidate->node_leaving = false;
+  candidate->retry_at = TimePoint{};
+}
+
+void InstancePlacer::OnNodeLeaving(std::string_view name) {
+  Candidate* candidate = this->Find(name);
+  if (candidate != nullptr) {
+    candidate->node_leaving = true;
+    candidate->load_known = false;
+  }
+}
+
+double InstancePlacer::LeastUtilisation(std::string_view service) const {
+  const auto found = this->services.find(service);
+  if (found == this->services.end()) {
+    return 0;
+  }
+  const TimePoint now = this->clock.Now();
+  double least = 0;
+  bool any = false;
+  for (const auto& candidate : found->second) {
+    if (this->IsUsable(*candidate, now)) {
+      const double utilisation = this->Utilisation(*candidate, now);
+      least = any ? std::min(least, utilisation) : utilisation;
+      any = true;
+    }
+  }
+  return least;
+}
+
+std::size_t InstancePlacer::UsableInstances(std::string_view service) const {
+  const auto found = this->services.find(service);
+  if (found == this->services.end()) {
+    return 0;
+  }
+  const TimePoint now = this->clock.Now();
+  return static_cast<std::size_t>(
+      std::count_if(found->second.begin(), found->second.end(),
+                    [&](const auto& candidate) { return this->IsUsable(*candidate, now); }));
+}
+
+void InstancePlacer::OnInstance(const UpstreamInstance& instance) {
+  const auto service = this->service_of.find(instance.name);
+  if (service != this->service_of.end() && service->second != instance.service) {
+    this->OnInstanceRemoved(instance.name);
+  }
+  Candidate* candidate = this->Find(instance.name);
+  if (candidate == nullptr) {
+    auto added = std::make_unique<Candidate>();
+    candidate = added.get();
+    candidate->name = instance.name;
+    this->services[instance.service].push_back(std::move(added));
+    this->by_name[instance.name] = candidate;
+    this->service_of[instance.name] = instance.service;
+  }
+  if (candidate->incarnation != instance.incarnation) {
+    // What was seen of the old process does not hold for the new one.
+    candidate->incarnation = instance.incarnation;
+    candidate->load_known = false;
+    candidate->outstanding = 0;
+    candidate->failure_share = 0;
+    candidate->node_leaving = false;
+  }
+  candidate->zone = instance.zone;
+  candidate->slots = std::max<std::uint32_t>(instance.slots, 1);
+  candidate->draining = instance.state == InstanceState::kDraining;
+  candidate->cold_until = this->clock.Now() + instance.cold_remaining;
+}
+
+void InstancePlacer::OnInstanceRemoved(std::string_view name) {
+  const auto service = this->service_of.find(name);
+  if (service == this->service_of.end()) {
+    return;
+  }
+  std::erase_if(this->services[service->second],
+                [&](const auto& candidate) { return candidate->name == name; });
+  this->by_name.erase(this->by_name.find(name));
+  this->service_of.erase(service);
+}
+
+InstancePlacer::Candidate* InstancePlacer::Find(std::string_view name) {
+  const auto found = this->by_name.find(name);
+  return found == this->by_name.end() ? nullptr : found->second;
+}
+
+bool InstancePlacer::IsUsable(const Candidate& candidate, TimePoint now) const {
+  return !candidate.draining && !candidate.node_leaving && candidate.retry_at <= now;
+}
+
+double InstancePlacer::Utilisation(const Candidate& candidate, TimePoint now) const {
+  const double own = candidate.outstanding / static_cast<double>(candidate.slots);
+  const Duration age = now - candidate.load_at;
+  double utilisation = own;
+  if (candidate.load_known && age < this->settings.report_life) {
+    const double capacity = std::max<std::uint32_t>(candidate.load.limit, 1);
+    // A limit of 0 means that the instance accepts no connection.
+    const double reported =
+        candidate.load.limit == 0
+            ? 2
+            : (candidate.load.in_flight + candidate.load.queued) / capacity;
+    // Requests sent since the report are not in it; older ones are.
+    utilisation = std::max(own, reported + candidate.sent_since_report / capacity);
+  }
+  if (now < candidate.cold_until) {
+    utilisation /= this->settings.cold_capacity;
+  }
+  return utilisation;
+}
+
+double InstancePlacer::Score(const Candidate& candidate, TimePoint now) const {
+  const double failures = this->FailureShare(candidate, now);
+  const double excess = std::max(0.0, failures - this->settings.failure_tolerance);
+  return this->Utilisation(candidate, now) + this->settings.failure_penalty * excess;
+}
+
+double InstancePlacer::FailureShare(const Candidate& candidate, TimePoint now) const {
+  if (candidate.failure_share == 0) {
+    return 0;
+  }
+  const std::chrono::duration<double> age = now - candidate.failure_at;
+  const std::chrono::duration<double> memory = this->settings.failure_memory;
+  return candidate.failure_share * std::exp(-age.count() / memory.count());
+}
+
+}  // namespace masticpin
--- /dev/null
+++ b/masticpin/routing/instance_placer.h
@@ -0,0 +1,128 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "masticpin/base/clock.h"
+#include "masticpin/base/random_source.h"
+#include "masticpin/routing/instance_directory_observer.h"
+#include "masticpin/routing/load_report.h"
+#include "masticpin/routing/placement_outcome.h"
+
+namespace masticpin {
+
+struct InstancePlacerSettings {
+  /// Utilisation up to which an instance of the own zone is preferred to all others. Queueing starts
+  /// well above it, so that staying in the zone costs no waiting.
+  double zone_utilisation = 0.7;
+  /// Above that, how much lower the utilisation in another zone must be. It keeps requests from
+  /// moving between zones because of load reports that are a few milliseconds old.
+  double zone_margin = 0.1;
+  /// Age at which a load report says nothing any more.
+  Duration report_life = std::chrono::seconds(1);
+  /// Weight of one outcome in the moving failure share. With one in sixteen, an instance that fails
+  /// half of its requests passes `failure_tolerance` after about five of them.
+  double failure_weight = 1.0 / 16;
+  /// Failure share below which an instance counts as healthy: single lost answers occur everywhere.
+  double failure_tolerance = 0.15;
+  /// Utilisation that a failure share of 1 counts as.
+  double failure_penalty = 4;
+  /// Time in which the failure share of an instance without outcomes falls to a third, so that its
+  /// recovery is noticed.
+  Duration failure_memory = std::chrono::seconds(3);
+  /// Pause after the node beside an instance could not be reached; doubles up to the bound.
+  Duration first_backoff = std::chrono::milliseconds(250);
+  Duration longest_backoff = std::chrono::seconds(2);
+  /// Share of the utilisation that is available while the instance is cold.
+  double cold_capacity = 0.5;
+};
+
+/// Chooses the instance that executes a request, from load reports and from the outcomes that this
+/// node saw. Sends no probes. Not thread-safe.
+class InstancePlacer : public InstanceDirectoryObserver {
+ public:
+  using Settings = InstancePlacerSettings;
+
+  /// `clock` and `random` must outlive the placer.
+  InstancePlacer(std::string own_zone,
+                 const Clock& clock,
+                 RandomSource& random,
+                 Settings settings = {});
+
+  /// Returns the name of the instance of `service` to use, or an empty view if it has none. Names
+  /// in `excluded` are not chosen. The view is valid until the next change of the directory.
+  std::string_view Choose(std::string_view service, std::span<const std::string> excluded);
+
+  /// A request was sent; each OnSent() is followed by one OnOutcome().
+  void OnSent(std::string_view name);
+  void OnOutcome(std::string_view name, PlacementOutcome outcome);
+
+  /// Takes over a load report of the node beside the instance.
+  void OnLoad(std::string_view name, const LoadReport& load);
+
+  /// The node beside the instance is about to stop: it gets no new requests until it reports load.
+  void OnNodeLeaving(std::string_view name);
+
+  /// Lowest utilisation among the instances of `service` that may be used; 0 if none is known.
+  double LeastUtilisation(std::string_view service) const;
+
+  /// Number of instances of `service` that may be used.
+  std::size_t UsableInstances(std::string_view service) const;
+
+  void OnInstance(const UpstreamInstance& instance) override;
+  void OnInstanceRemoved(std::string_view name) override;
+
+ private:
+  struct Candidate {
+    std::string name;
+    std::string zone;
+    std::uint32_t slots = 1;
+    bool draining = false;
+    bool node_leaving = false;
+    TimePoint cold_until{};
+    std::uint64_t incarnation = 0;
+
+    LoadReport load;
+    TimePoint load_at{};
+    bool load_known = false;
+    /// Own requests without an outcome, and those sent since the last load report.
+    std::uint32_t outstanding = 0;
+    std::uint32_t sent_since_report = 0;
+
+    double failure_share = 0;
+    TimePoint failure_at{};
+    Duration backoff{};
+    TimePoint retry_at{};
+  };
+  using Candidates = std::vector<std::unique_ptr<Candidate>>;
+
+  struct StringHash {
+    using is_transparent = void;  // NOLINT(readability-identifier-naming)
+    std::size_t operator()(std::string_view text) const {
+      return std::hash<std::string_view>()(text);
+    }
+  };
+
+  Candidate* Find(std::string_view name);
+  bool IsUsable(const Candidate& candidate, TimePoint now) const;
+  /// Utilisation of the instance: 1 when all slots are taken, above 1 with a queue.
+  double Utilisation(const Candidate& candidate, TimePoint now) const;
+  /// Utilisation with the penalty for failures.
+  double Score(const Candidate& candidate, TimePoint now) const;
+  double FailureShare(const Candidate& candidate, TimePoint now) const;
+
+  const std::string own_zone;
+  const Clock& clock;
+  RandomSource& random;
+  const Settings settings;
+  std::unordered_map<std::string, Candidates, StringHash, std::equal_to<>> services;
+  std::unordered_map<std::string, Candidate*, StringHash, std::equal_to<>> by_name;
+  std::unordered_map<std::string, std::string, StringHash, std::equal_to<>> service_of;
+};
+
+}  // namespace masticpin
--- /dev/null
+++ b/masticpin/routing/routing_configuration.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "masticpin/base/ref_counted.h"
+#include "masticpin/routing/request_limits.h"
+#include "masticpin/routing/route.h"
+#include "masticpin/routing/service_settings.h"
+
+namespace masticpin {
+
+/// One version of the operator's routes and services. Immutable after its construction, so that a
+/// request keeps the version under which it arrived.
+class RoutingConfiguration : public RefCounted<RoutingConfiguration> {
+ public:
+  RoutingConfiguration(std::uint64_t version,
+                       std::vector<Route> routes,
+                       std::vector<ServiceSettings> services,
+                       const RequestLimits& limits);
+
+  /// Greater than the version of every configuration that was accepted before it.
+  std::uint64_t Version() const { return this->version; }
+
+  /// Returns the route of `host` with the longest prefix that begins `target`, or nullptr. `host`
+  /// may have a port; the query of `target` takes no part.
+  const Route* FindRoute(std::string_view host, std::string_view target) const;
+
+  /// Returns the settings of a service, or nullptr.
+  const ServiceSettings* FindService(std::string_view name) const;
+
+  const std::vector<Route>& Routes() const { return this->routes; }
+  const std::vector<ServiceSettings>& Services() const { return this->services; }
+  const RequestLimits& Limits() const { return this->limits; }
+
+ private:
+  struct StringHash {
+    using is_transparent = void;  // NOLINT(readability-identifier-naming)
+    std::size_t operator()(std::string_view text) const {
+      return std::hash<std::string_view>()(text);
+    }
+  };
+  using RouteByPrefix = std::unordered_map<std::string, std::size_t, StringHash, std::equal_to<>>;
+
+  const std::uint64_t version;
+  const std::vector<Route> routes;
+  const std::vector<ServiceSettings> services;
+  const RequestLimits limits;
+  /// Position in `routes` by prefix, for each host.
+  std::unordered_map<std::string, RouteByPrefix, StringHash, std::equal_to<>> hosts;
+};
+
+}  // namespace masticpin
--- /dev/null
+++ b/sidecar/caller_reply.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <string>
+
+namespace masticpin {
+
+/// What a caller gets for its request.
+struct CallerReply {
+  int status = 0;
+  std::string reason;
+  /// Header lines, each ended by CR LF, without the framing of the body and `Connection`.
+  std::string header_lines;
+  std::string body;
+};
+
+}  // namespace masticpin
--- /dev/null
+++ b/sidecar/frame_stream.cc
@@ -0,0 +1,140 @@
+#include "sidecar/frame_stream.h"
+
+#include <google/protobuf/io/coded_stream.h>
+#include <google/protobuf/io/zero_copy_stream_impl_lite.h>
+#include <google/protobuf/util/delimited_message_util.h>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <utility>
+
+namespace masticpin {
+namespace {
+
+/// Buffers that a burst has made larger than this are given back.
+constexpr std::size_t kKeptBufferBytes = std::size_t{64} << 10;
+
+/// Bytes of the longest length that a frame may have.
+constexpr std::size_t kMaxLengthBytes = 5;
+
+}  // namespace
+
+FrameStream::FrameStream(boost::asio::ip::tcp::socket socket, FrameObserver& observer)
+    : socket(std::move(socket)),
+      observer(&observer),
+      read_buffer(std::make_unique<char[]>(kReadBytes)) {}
+
+void FrameStream::Start() {
+  this->Read();
+}
+
+void FrameStream::Send(const wire::PeerFrame& frame) {
+  if (this->observer == nullptr) {
+    return;
+  }
+  {
+    google::protobuf::io::StringOutputStream stream(&this->pending);
+    google::protobuf::util::SerializeDelimitedToZeroCopyStream(frame, &stream);
+  }
+  this->Write();
+}
+
+void FrameStream::Close() {
+  this->observer = nullptr;
+  boost::system::error_code ignored;  // The connection ends in any case.
+  this->socket.close(ignored);
+}
+
+void FrameStream::Read() {
+  this->socket.async_read_some(
+      boost::asio::buffer(this->read_buffer.get(), kReadBytes),
+      [self = Ref<FrameStream>(this)](const boost::system::error_code& error, std::size_t bytes) {
+        if (self->observer == nullptr) {
+          return;
+        }
+        if (error) {
+          self->Fail(error.message());
+          return;
+        }
+        self->OnRead(bytes);
+      });
+}
+
+void FrameStream::OnRead(std::size_t bytes) {
+  this->input.append(this->read_buffer.get(), bytes);
+  std::size_t used = 0;
+  while (this->observer != nullptr) {
+    // Read the length of the next frame.
+    const auto* begin = reinterpret_cast<const std::uint8_t*>(this->input.data()) + used;
+    const std::size_t available = this->input.size() - used;
+    google::protobuf::io::CodedInputStream coded(begin, static_cast<int>(available));
+    std::uint32_t length = 0;
+    if (available == 0 || !coded.ReadVarint32(&length)) {
+      if (available >= kMaxLengthBytes) {
+        this->Fail("frame has no valid length");
+      }
+      break;
+    }
+    if (length > kMaxFrameBytes) {
+      this->Fail("frame is too large");
+      break;
+    }
+    const auto header = static_cast<std::size_t>(coded.CurrentPosition());
+    if (available < header + length) {
+      break;
+    }
+    // Pass the frame on.
+    wire::PeerFrame frame;
+    if (!frame.ParseFromArray(begin + header, static_cast<int>(length))) {
+      this->Fail("frame cannot be decoded");
+      break;
+    }
+    used += header + length;
+    this->observer->OnFrame(frame);
+  }
+  if (this->observer == nullptr) {
+    return;
+  }
+  this->input.erase(0, used);
+  if (this->input.empty() && this->input.capacity() > kKeptBufferBytes) {
+    std::string().swap(this->input);
+  }
+  this->Read();
+}
+
+void FrameStream::Write() {
+  if (this->writing || this->pending.empty()) {
+    return;
+  }
+  this->writing = true;
+  this->output.clear();
+  if (this->output.capacity() > kKeptBufferBytes) {
+    std::string().swap(this->output);
+  }
+  this->output.swap(this->pending);
+  boost::asio::async_write(
+      this->socket, boost::asio::buffer(this->output),
+      [self = Ref<FrameStream>(this)](const boost::system::error_code& error, std::size_t) {
+        self->writing = false;
+        self->output.clear();
+        if (self->observer == nullptr) {
+          return;
+        }
+        if (error) {
+          self->Fail(error.message());
+          return;
+        }
+        self->Write();
+      });
+}
+
+void FrameStream::Fail(std::string_view reason) {
+  FrameObserver* const finished = this->observer;
+  const std::string text(reason);
+  this->Close();
+  if (finished != nullptr) {
+    finished->OnStreamClosed(text);
+  }
+}
+
+}  // namespace masticpin
--- /dev/null
+++ b/sidecar/frame_stream.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <memory>
+#include <string>
+
+#include "masticpin/base/ref_counted.h"
+#include "masticpin/wire/peer_frame.pb.h"
+#include "sidecar/frame_observer.h"
+
+namespace masticpin {
+
+/// Sends and receives the frames of one connection between nodes: protobuf messages in the delimited
+/// form (a varint with the length before each). Frames that are sent while a write is in progress
+/// leave together with the next one.
+class FrameStream : public RefCounted<FrameStream> {
+ public:
+  /// Larger frames end the connection. A body of this size would take a tenth of the smallest
+  /// machine's memory.
+  static constexpr std::size_t kMaxFrameBytes = std::size_t{16} << 20;
+
+  /// `observer` must outlive the stream or call Close() before it ends.
+  FrameStream(boost::asio::ip::tcp::socket socket, FrameObserver& observer);
+
+  /// Starts to read.
+  void Start();
+
+  void Send(const wire::PeerFrame& frame);
+
+  /// Bytes that wait to be sent.
+  std::size_t PendingBytes() const { return this->pending.size() + this->output.size(); }
+
+  /// Closes the connection without a callback.
+  void Close();
+
+ private:
+  static constexpr std::size_t kReadBytes = std::size_t{16} << 10;
+
+  void Read();
+  void OnRead(std::size_t bytes);
+  void Write();
+  void Fail(std::string_view reason);
+
+  boost::asio::ip::tcp::socket socket;
+  FrameObserver* observer;
+  std::unique_ptr<char[]> read_buffer;
+  std::string input;
+  /// Frames that are being written, and those that wait for the next write.
+  std::string output;
+  std::string pending;
+  bool writing = false;
+};
+
+}  // namespace masticpin
--- /dev/null
+++ b/sidecar/http_client_connection.cc
@@ -0,0 +1,248 @@
+#include "sidecar/http_client_connection.h"
+
+#include <spdlog/spdlog.h>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/asio/write.hpp>
+#include <utility>
+
+#include "sidecar/http_client.h"
+#include "sidecar/tcp_address.h"
+
+namespace masticpin {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+/// A server on the same machine accepts at once, so that a longer wait means that it is gone or its
+/// queue of connections is full.
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(1000);
+
+/// Servers of this project's users send a few hundred bytes; a larger header is not a response.
+constexpr std::uint32_t kMaxResponseHeaderBytes = std::uint32_t{64} << 10;
+
+}  // namespace
+
+HttpClientConnection::HttpClientConnection(boost::asio::io_context& loop,
+                                           HttpClient& client,
+                                           const Clock& clock,
+                                           TimerService& timers)
+    : client(client), clock(clock), timers(timers), socket(loop) {}
+
+HttpClientConnection::~HttpClientConnection() {
+  this->timers.Cancel(*this);
+}
+
+void HttpClientConnection::Connect(const SocketAddress& address,
+                                   HttpCall new_call,
+                                   HttpCallObserver& new_observer) {
+  this->call = std::move(new_call);
+  this->observer = &new_observer;
+  this->connecting = true;
+  this->timers.Schedule(*this, this->clock.Now() + kConnectTimeout);
+  this->socket.async_connect(
+      ToEndpoint(address),
+      [self = Ref<HttpClientConnection>(this)](const boost::system::error_code& error) {
+        self->connecting = false;
+        self->timers.Cancel(*self);
+        if (self->closed) {
+          return;
+        }
+        if (error) {
+          self->Fail(ErrorKind::kUpstreamUnreachable, error.message());
+          return;
+        }
+        EnableFastLossDetection(self->socket);
+        self->StartCall();
+      });
+}
+
+void HttpClientConnection::Send(HttpCall new_call, HttpCallObserver& new_observer) {
+  this->call = std::move(new_call);
+  this->observer = &new_observer;
+  this->StartCall();
+}
+
+void HttpClientConnection::Abort() {
+  this->observer = nullptr;
+  this->Finish();
+}
+
+void HttpClientConnection::Close() {
+  this->Finish();
+}
+
+void HttpClientConnection::OnTimer(TimePoint) {
+  this->Fail(ErrorKind::kUpstreamUnreachable, "connect timed out");
+}
+
+void HttpClientConnection::StartCall() {
+  this->StartParser();
+  this->writing = true;
+  boost::asio::async_write(
+      this->socket, boost::asio::buffer(this->call.message),
+      [self = Ref<HttpClientConnection>(this)](const boost::system::error_code& error,
+                                               std::size_t) { self->OnWritten(error); });
+  this->Read();
+}
+
+void HttpClientConnection::StartParser() {
+  this->parser.emplace();
+  this->parser->eager(true);
+  this->parser->header_limit(kMaxResponseHeaderBytes);
+  this->parser->body_limit(boost::none);
+  this->parser->skip(this->call.head);
+}
+
+void HttpClientConnection::OnWritten(const boost::system::error_code& error) {
+  this->writing = false;
+  if (error && !this->closed && this->observer != nullptr) {
+    // The response may have arrived before the request was read to its end; reading decides.
+    spdlog::debug("event=upstream_write_failed reason=\"{}\"", error.message());
+  }
+}
+
+void HttpClientConnection::Read() {
+  if (this->reading || this->closed) {
+    return;
+  }
+  this->reading = true;
+  if (this->read_buffer == nullptr) {
+    this->read_buffer = std::make_unique<char[]>(kReadBytes);
+  }
+  this->socket.async_read_some(boost::asio::buffer(this->read_buffer.get(), kReadBytes),
+                               [self = Ref<HttpClientConnection>(this)](
+                                   const boost::system::error_code& error, std::size_t bytes) {
+                                 self->OnRead(error, bytes);
+                               });
+}
+
+void HttpClientConnection::OnRead(const boost::system::error_code& error, std::size_t bytes) {
+  this->reading = false;
+  if (this->closed) {
+    return;
+  }
+  if (this->observer == nullptr) {
+    // Nothing is expected on an idle connection but its end. Bytes would belong to no request.
+    this->Finish();
+    return;
+  }
+  if (error) {
+    if (error == boost::asio::error::eof) {
+      this->Parse(true);
+    } else {
+      this->Fail(ErrorKind::kUpstreamBroken, error.message());
+    }
+    return;
+  }
+  this->input.append(this->read_buffer.get(), bytes);
+  this->Parse(false);
+}
+
+void HttpClientConnection::Parse(bool end_of_stream) {
+  while (!this->input.empty() && this->observer != nullptr) {
+    boost::system::error_code error;
+    const std::size_t used = this->parser->put(boost::asio::buffer(this->input), error);
+    this->input.erase(0, used);
+    if (error && error != http::error::need_more) {
+      this->Fail(ErrorKind::kUpstreamBroken, error.message());
+      return;
+    }
+    if (this->parser->is_done()) {
+      this->OnMessage();
+      continue;
+    }
+    if (error == http::error::need_more || used == 0) {
+      break;
+    }
+  }
+  if (this->observer == nullptr || this->closed) {
+    return;
+  }
+  if (end_of_stream) {
+    // A response without a length ends with the connection.
+    boost::system::error_code error;
+    if (this->parser->got_some()) {
+      this->parser->put_eof(error);
+      if (!error && this->parser->is_done()) {
+        this->OnMessage();
+      }
+    }
+    if (this->observer != nullptr) {
+      this->Fail(ErrorKind::kUpstreamBroken, "connection closed before the end of the response");
+    }
+    return;
+  }
+  this->Read();
+}
+
+void HttpClientConnection::OnMessage() {
+  auto message = this->parser->release();
+  const bool informational = message.result_int() >= 100 && message.result_int() < 200;
+  const bool other_request =
+      !this->call.echo_name.empty() &&
+      std::string_view(message[this->call.echo_name]) != this->call.echo_value;
+  if (informational || other_request) {
+    // A second answer to an earlier request stands before the answer to this one.
+    if (other_request) {
+      spdlog::info("event=response_skipped expected_id={} id={}", this->call.echo_value,
+                   std::string(message[this->call.echo_name]));
+      this->skipped_response = true;
+    }
+    this->StartParser();
+    return;
+  }
+
+  HttpResponse response;
+  response.status = static_cast<int>(message.result_int());
+  response.reason = std::string(message.reason());
+  response.fields = HttpFields(message.base());
+  response.keep_alive = message.keep_alive();
+  response.body = std::move(message.body());
+  HttpCallObserver* const finished = this->observer;
+  this->observer = nullptr;
+
+  // The rest of a request that was answered early, bytes behind the response, and an answer to
+  // another request all make the connection useless.
+  const bool reusable = response.keep_alive && !this->writing && this->input.empty() &&
+                        !this->skipped_response;
+  const Ref<HttpClientConnection> keep(this);
+  if (reusable) {
+    this->idle_since = this->clock.Now();
+    this->parser.reset();
+    this->call.message.clear();
+    // Watches for the end of the connection while it is idle.
+    this->Read();
+    this->client.OnIdle(*this);
+  } else {
+    this->Finish();
+  }
+  finished->OnResponse(std::move(response));
+}
+
+void HttpClientConnection::Fail(ErrorKind kind, std::string_view reason) {
+  const Ref<HttpClientConnection> keep(this);
+  HttpCallObserver* const finished = this->observer;
+  this->observer = nullptr;
+  this->Finish();
+  if (finished != nullptr) {
+    finished->OnCallFailed(kind, reason);
+  }
+}
+
+void HttpClientConnection::Finish() {
+  if (this->closed) {
+    return;
+  }
+  const Ref<HttpClientConnection> keep(this);
+  this->closed = true;
+  this->observer = nullptr;
+  this->timers.Cancel(*this);
+  boost::system::error_code ignored;  // The connection ends in any case.
+  this->socket.close(ignored);
+  this->RemoveFromList();
+}
+
+}  // namespace masticpin
--- /dev/null
+++ b/sidecar/http_exchange.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "masticpin/base/ref_counted.h"
+#include "masticpin/base/time.h"
+#include "sidecar/caller_observer.h"
+#include "sidecar/caller_reply.h"
+#include "sidecar/http_message.h"
+
+namespace masticpin {
+
+class HttpSession;
+
+/// One request of a caller and the place of its response in the order of its connection.
+class HttpExchange : public RefCounted<HttpExchange> {
+ public:
+  HttpExchange(HttpSession& session, HttpRequest request, TimePoint arrived_at);
+
+  const HttpRequest& Request() const { return this->request; }
+  HttpRequest& Request() { return this->request; }
+
+  /// When the last byte of the request was read.
+  TimePoint ArrivedAt() const { return this->arrived_at; }
+
+  /// Answers the request; called at most once. Does nothing if the caller has left.
+  void Respond(CallerReply reply);
+
+  /// The observer, if any, must outlive the exchange or be replaced by nullptr.
+  void SetObserver(CallerObserver* new_observer) { this->observer = new_observer; }
+
+  bool IsCallerGone() const { return this->session == nullptr; }
+
+ private:
+  friend class HttpSession;
+
+  /// The connection; nullptr after it was closed.
+  HttpSession* session;
+  HttpRequest request;
+  const TimePoint arrived_at;
+  CallerObserver* observer = nullptr;
+  bool answered = false;
+  /// The response as it is written.
+  std::string response;
+};
+
+}  // namespace masticpin
--- /dev/null
+++ b/sidecar/http_field.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <string>
+
+namespace masticpin {
+
+/// One header field as it was received.
+struct HttpField {
+  std::string name;
+  std::string value;
+};
+
+}  // namespace masticpin
--- /dev/null
+++ b/sidecar/http_listener.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/intrusive/list.hpp>
+
+#include "masticpin/base/clock.h"
+#include "masticpin/base/socket_address.h"
+#include "masticpin/base/timer_service.h"
+#include "sidecar/http_handler.h"
+#include "sidecar/http_session.h"
+
+namespace masticpin {
+
+/// Accepts callers at one address.
+class HttpListener : private TimerSubscriber {
+ public:
+  /// All arguments must outlive the listener.
+  HttpListener(boost::asio::io_context& loop,
+               HttpHandler& handler,
+               const Clock& clock,
+               TimerService& timers);
+  ~HttpListener() override;
+
+  /// Returns an error text if the address cannot be bound, or an empty text.
+  std::string Listen(const SocketAddress& address);
+
+  /// Accepts no more connections.
+  void Stop();
+
+  /// Whether a request is in progress or a response is not written yet.
+  bool IsBusy() const;
+
+ private:
+  void OnTimer(TimePoint now) override;
+  void Accept();
+
+  boost::asio::io_context& loop;
+  boost::asio::ip::tcp::acceptor acceptor;
+  HttpHandler& handler;
+  const Clock& clock;
+  TimerService& timers;
+  boost::intrusive::list<HttpSession, boost::intrusive::constant_time_size<false>> sessions;
+};
+
+}  // namespace masticpin
--- /dev/null
+++ b/sidecar/http_message.cc
@@ -0,0 +1,84 @@
+#include "sidecar/http_message.h"
+
+#include <algorithm>
+#include <array>
+
+namespace masticpin {
+namespace {
+
+/// Fields that concern one connection (RFC 9110, section 7.6.1), the framing of the body, which the
+/// sender of each hop writes itself, and Expect, which this hop has answered.
+constexpr std::array<std::string_view, 10> kConnectionFields = {
+    "Connection", "Keep-Alive",        "Proxy-Connection", "Proxy-Authenticate", "TE", "Trailer",
+    "Upgrade",    "Transfer-Encoding", "Content-Length",   "Expect"};
+
+char ToLower(char c) {
+  return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+}
+
+bool Contains(const auto& names, std::string_view name) {
+  return std::any_of(names.begin(), names.end(), [&](std::string_view other) {
+    return EqualsIgnoreCase(other, name);
+  });
+}
+
+}  // namespace
+
+bool EqualsIgnoreCase(std::string_view a, std::string_view b) {
+  return a.size() == b.size() && std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) {
+           return ToLower(x) == ToLower(y);
+         });
+}
+
+HttpFields::HttpFields(const boost::beast::http::fields& fields) {
+  for (const auto& field : fields) {
+    this->fields.push_back(
+        HttpField{std::string(field.name_string()), std::string(field.value())});
+  }
+}
+
+std::string_view HttpFields::Find(std::string_view name) const {
+  for (const HttpField& field : this->fields) {
+    if (EqualsIgnoreCase(field.name, name)) {
+      return field.value;
+    }
+  }
+  return {};
+}
+
+void HttpFields::AppendEndToEndLines(const std::vector<std::string_view>& without,
+                                     std::string& lines) const {
+  for (const HttpField& field : this->fields) {
+    if (Contains(kConnectionFields, field.name) || Contains(without, field.name) ||
+        this->IsNamedByConnection(field.name)) {
+      continue;
+    }
+    lines.append(field.name).append(": ").append(field.value).append("\r\n");
+  }
+}
+
+bool HttpFields::IsNamedByConnection(std::string_view name) const {
+  for (const HttpField& field : this->fields) {
+    if (!EqualsIgnoreCase(field.name, "Connection")) {
+      continue;
+    }
+    std::string_view rest = field.value;
+    while (!rest.empty()) {
+      const std::size_t comma = rest.find(',');
+      std::string_view token = rest.substr(0, comma);
+      while (!token.empty() && (token.front() == ' ' || token.front() == '\t')) {
+        token.remove_prefix(1);
+      }
+      while (!token.empty() && (token.back() == ' ' || token.back() == '\t')) {
+        token.remove_suffix(1);
+      }
+      if (EqualsIgnoreCase(token, name)) {
+        return true;
+      }
+      rest = comma == std::string_view::npos ? std::string_view() : rest.substr(comma + 1);
+    }
+  }
+  return false;
+}
+
+}  // namespace masticpin
--- /dev/null
+++ b/sidecar/http_message.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <boost/beast/http/fields.hpp>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "sidecar/http_field.h"
+
+namespace masticpin {
+
+/// Compares header names without regard to case.
+bool EqualsIgnoreCase(std::string_view a, std::string_view b);
+
+/// The header fields of a message, in the order in which they arrived.
+class HttpFields {
+ public:
+  HttpFields() = default;
+  explicit HttpFields(const boost::beast::http::fields& fields);
+
+  /// Returns the value of the first field of this name, or an empty view.
+  std::string_view Find(std::string_view name) const;
+
+  /// Appends all fields that concern more than one connection as lines that end with CR LF.
+  /// Leaves out the body's framing, the fields that `Connection` names, and those in `without`.
+  void AppendEndToEndLines(const std::vector<std::string_view>& without, std::string& lines) const;
+
+ private:
+  bool IsNamedByConnection(std::string_view name) const;
+
+  std::vector<HttpField> fields;
+};
+
+/// A complete request of a caller.
+struct HttpRequest {
+  std::string method;
+  /// Byte for byte as received.
+  std::string target;
+  HttpFields fields;
+  std::string body;
+  /// Whether the connection may carry another request.
+  bool keep_alive = true;
+};
+
+/// A complete response of a server.
+struct HttpResponse {
+  int status = 0;
+  std::string reason;
+  HttpFields fields;
+  std::string body;
+  /// Whether the connection may carry another request.
+  bool keep_alive = true;
+};
+
+}  // namespace masticpin
--- /dev/null
+++ b/sidecar/http_session.cc
@@ -0,0 +1,307 @@
+#include "sidecar/http_session.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <utility>
+
+namespace masticpin {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+/// A caller that takes none of a response for this long does not get the rest.
+constexpr Duration kWriteTimeout = std::chrono::seconds(10);
+
+/// Idle connections are kept a little longer than the limit says, so that a request which the caller
+/// sends at the last moment does not cross the close.
+constexpr Duration kIdleMargin = std::chrono::milliseconds(500);
+
+/// The connection, once more than this is unparsed, is not read while requests are in progress.
+constexpr std::size_t kMaxUnparsedBytes = std::size_t{64} << 10;
+
+}  // namespace
+
+HttpSession::HttpSession(boost::asio::ip::tcp::socket socket,
+                         HttpHandler& handler,
+                         const Clock& clock,
+                         TimerService& timers)
+    : socket(std::move(socket)), handler(handler), clock(clock), timers(timers) {}
+
+HttpSession::~HttpSession() {
+  this->timers.Cancel(*this);
+}
+
+void HttpSession::Start() {
+  this->self = Ref<HttpSession>(this);
+  this->waiting_since = this->clock.Now();
+  this->ScheduleTimeout();
+  this->Read();
+}
+
+void HttpSession::Close() {
+  if (this->closed) {
+    return;
+  }
+  const Ref<HttpSession> keep = std::move(this->self);
+  this->closed = true;
+  this->timers.Cancel(*this);
+  this->HttpSessionHook::unlink();
+  boost::system::error_code ignored;  // The connection ends in any case.
+  this->socket.close(ignored);
+  std::deque<Ref<HttpExchange>> abandoned;
+  abandoned.swap(this->exchanges);
+  for (const Ref<HttpExchange>& exchange : abandoned) {
+    exchange->session = nullptr;
+    if (!exchange->answered && exchange->observer != nullptr) {
+      exchange->observer->OnCallerGone();
+    }
+  }
+}
+
+void HttpSession::OnTimer(TimePoint) {
+  if (!this->exchanges.empty() && !this->writing) {
+    return;
+  }
+  spdlog::debug("event=caller_timeout writing={} partial_bytes={}", this->writing,
+                this->input.size());
+  this->Close();
+}
+
+void HttpSession::ScheduleTimeout() {
+  if (this->closed) {
+    return;
+  }
+  if (this->writing) {
+    this->timers.Schedule(*this, this->clock.Now() + kWriteTimeout);
+    return;
+  }
+  if (!this->exchanges.empty()) {
+    // The request in progress has its own deadline.
+    this->timers.Cancel(*this);
+    return;
+  }
+  const RequestLimits limits = this->handler.Limits();
+  const bool started = this->parser && (this->parser->got_some() || !this->input.empty());
+  const Duration bound = started ? limits.header_timeout : limits.idle_timeout + kIdleMargin;
+  this->timers.Schedule(*this, this->waiting_since + bound);
+}
+
+void HttpSession::Read() {
+  if (this->closed || this->reading ||
+      (this->exchanges.size() >= kMaxPipelined && this->input.size() >= kMaxUnparsedBytes)) {
+    return;
+  }
+  this->reading = true;
+  if (this->read_buffer == nullptr) {
+    this->read_buffer = std::make_unique<char[]>(kReadBytes);
+  }
+  this->socket.async_read_some(
+      boost::asio::buffer(this->read_buffer.get(), kReadBytes),
+      [self = Ref<HttpSession>(this)](const boost::system::error_code& error, std::size_t bytes) {
+        self->OnRead(error, bytes);
+      });
+}
+
+void HttpSession::OnRead(const boost::system::error_code& error, std::size_t bytes) {
+  this->reading = false;
+  if (this->closed) {
+    return;
+  }
+  if (error) {
+    // A caller that has closed its side waits for no response.
+    this->Close();
+    return;
+  }
+  if (!this->input_ended) {
+    if (this->input.empty() && this->exchanges.empty()) {
+      this->waiting_since = this->clock.Now();
+    }
+    this->input.append(this->read_buffer.get(), bytes);
+    if (!this->Parse()) {
+      return;
+    }
+  }
+  this->Read();
+}
+
+void HttpSession::StartParser() {
+  const RequestLimits limits = this->handler.Limits();
+  this->parser.emplace();
+  this->parser->eager(true);
+  this->parser->header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
+  this->parser->body_limit(limits.max_body_bytes);
+  this->continue_sent = false;
+}
+
+bool HttpSession::Parse() {
+  while (!this->closed && !this->input_ended && this->exchanges.size() < kMaxPipelined) {
+    if (!this->parser) {
+      this->StartParser();
+    }
+    // An empty line before a request is ignored (RFC 9112, section 2.2).
+    if (!this->parser->got_some()) {
+      this->input.erase(0, std::min(this->input.find_first_not_of("\r\n"), this->input.size()));
+    }
+    if (this->input.empty()) {
+      break;
+    }
+    boost::system::error_code error;
+    const std::size_t used = this->parser->put(boost::asio::buffer(this->input), error);
+    this->input.erase(0, used);
+    if (error && error != http::error::need_more) {
+      if (error == http::error::header_limit) {
+        this->RejectMessage(431, "Request Header Fields Too Large");
+      } else if (error == http::error::body_limit) {
+        this->RejectMessage(413, "Content Too Large");
+      } else {
+        spdlog::info("event=malformed_request reason=\"{}\"", error.message());
+        this->RejectMessage(400, "Bad Request");
+      }
+      break;
+    }
+    if (this->parser->is_done()) {
+      this->OnMessage();
+      continue;
+    }
+    if (this->parser->is_header_done() && !this->continue_sent && !this->writing &&
+        this->exchanges.empty() &&
+        EqualsIgnoreCase(std::string_view(this->parser->get()[http::field::expect]),
+                         "100-continue")) {
+      this->continue_sent = true;
+      boost::system::error_code ignored;  // A failed write shows at the next read.
+      this->socket.write_some(boost::asio::buffer("HTTP/1.1 100 Continue\r\n\r\n", 25), ignored);
+    }
+    if (error == http::error::need_more || used == 0) {
+      break;
+    }
+  }
+  if (!this->closed) {
+    this->ScheduleTimeout();
+  }
+  return !this->closed;
+}
+
+void HttpSession::OnMessage() {
+  auto message = this->parser->release();
+  this->parser.reset();
+  HttpRequest request;
+  request.method = std::string(message.method_string());
+  request.target = std::string(message.target());
+  request.fields = HttpFields(message.base());
+  request.keep_alive = message.keep_alive();
+  request.body = std::move(message.body());
+  // Requests behind the last one of a connection count as not read.
+  this->input_ended = !request.keep_alive;
+  Ref<HttpExchange> exchange(new HttpExchange(*this, std::move(request), this->clock.Now()));
+  this->exchanges.push_back(exchange);
+  this->handler.OnRequest(std::move(exchange));
+}
+
+void HttpSession::RejectMessage(int status, std::string_view reason) {
+  this->input_ended = true;
+  this->input.clear();
+  HttpRequest request;
+  request.keep_alive = false;
+  Ref<HttpExchange> exchange(new HttpExchange(*this, std::move(request), this->clock.Now()));
+  this->exchanges.push_back(exchange);
+  exchange->Respond(CallerReply{status, std::string(reason), "", ""});
+}
+
+void HttpSession::OnResponse(HttpExchange& exchange, CallerReply reply) {
+  const bool behind_others = this->exchanges.size() > 1;
+  const bool close = !exchange.request.keep_alive ||
+                     (this->handler.IsDraining() && !behind_others && this->input.empty());
+  std::string& out = exchange.response;
+  out.reserve(64 + reply.header_lines.size() + reply.body.size());
+  out.append("HTTP/1.1 ").append(std::to_string(reply.status)).append(" ").append(reply.reason);
+  out.append("\r\n").append(reply.header_lines);
+  const bool bodyless = reply.status == 204 || reply.status == 304;
+  if (!bodyless) {
+    out.append("Content-Length: ").append(std::to_string(reply.body.size())).append("\r\n");
+  }
+  if (close) {
+    out.append("Connection: close\r\n");
+    this->input_ended = true;
+    exchange.request.keep_alive = false;
+  }
+  out.append("\r\n");
+  if (exchange.request.method != "HEAD" && !bodyless) {
+    out.append(reply.body);
+  }
+  this->WriteReady();
+}
+
+void HttpSession::WriteReady() {
+  if (this->closed || this->writing) {
+    return;
+  }
+  this->output.clear();
+  while (!this->exchanges.empty() && this->exchanges.front()->answered &&
+         !this->close_after_write) {
+    HttpExchange& front = *this->exchanges.front();
+    this->output.append(front.response);
+    this->close_after_write = !front.request.keep_alive;
+    front.session = nullptr;
+    this->exchanges.pop_front();
+  }
+  if (this->output.empty()) {
+    return;
+  }
+  this->writing = true;
+  boost::asio::async_write(
+      this->socket, boost::asio::buffer(this->output),
+      [self = Ref<HttpSession>(this)](const boost::system::error_code& error, std::size_t) {
+        self->OnWritten(error);
+      });
+  this->ScheduleTimeout();
+}
+
+void HttpSession::OnWritten(const boost::system::error_code& error) {
+  this->writing = false;
+  if (this->closed) {
+    return;
+  }
+  if (error) {
+    this->Close();
+    return;
+  }
+  if (this->close_after_write) {
+    // Ends the sending side first: closing with unread bytes would reset the connection and could
+    // destroy the response on its way.
+    boost::system::error_code ignored;
+    this->socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    if (!this->reading) {
+      this->Close();
+      return;
+    }
+    this->waiting_since = this->clock.Now();
+    this->timers.Schedule(*this, this->waiting_since + std::chrono::seconds(1));
+    return;
+  }
+  if (this->output.capacity() > kMaxUnparsedBytes) {
+    std::string().swap(this->output);
+  }
+  this->waiting_since = this->clock.Now();
+  this->WriteReady();
+  if (this->Parse()) {
+    this->Read();
+  }
+}
+
+HttpExchange::HttpExchange(HttpSession& session, HttpRequest request, TimePoint arrived_at)
+    : session(&session), request(std::move(request)), arrived_at(arrived_at) {}
+
+void HttpExchange::Respond(CallerReply reply) {
+  if (this->answered || this->session == nullptr) {
+    return;
+  }
+  this->answered = true;
+  this->observer = nullptr;
+  this->session->OnResponse(*this, std::move(reply));
+}
+
+}  // namespace masticpin
--- /dev/null
+++ b/sidecar/local_execution.cc
@@ -0,0 +1,238 @@
+#include "sidecar/local_execution.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "sidecar/local_executor.h"
+#include "sidecar/peer_protocol.h"
+
+namespace masticpin {
+namespace {
+
+/// Time that the instance's own answer at the deadline gets before the node gives up the run.
+constexpr Duration kAnswerMargin = std::chrono::milliseconds(100);
+
+/// Longest idle time of a connection that is used again. Servers close idle connections after some
+/// seconds, at times much sooner than they say. A request that must not run twice is lost for the
+/// caller when it crosses the close, an idempotent one can be repeated.
+constexpr Duration kMaxIdleForIdempotent = std::chrono::seconds(2);
+constexpr Duration kMaxIdleForOthers = std::chrono::milliseconds(100);
+
+/// Longest wait for admission. A request that a caller has just sent is refused soon, because it has
+/// cost nothing yet and may find room elsewhere; a call of a request in progress is worth the work
+/// that was done for it.
+constexpr Duration kCallerWaitBound = std::chrono::milliseconds(100);
+constexpr Duration kInnerWaitBound = std::chrono::milliseconds(400);
+
+bool HasBody(const wire::ExecutionRequest& request) {
+  return !request.body().empty() || request.method() == "POST" || request.method() == "PUT" ||
+         request.method() == "PATCH";
+}
+
+}  // namespace
+
+LocalExecution::LocalExecution(LocalExecutor& executor,
+                               const wire::ExecutionRequest& request,
+                               ExecutionObserver& observer)
+    : executor(executor),
+      request(request),
+      observer(&observer),
+      arrived_at(executor.clock.Now()) {
+  this->priority.importance =
+      static_cast<std::uint8_t>(std::min<std::uint32_t>(request.importance(), kMaxImportance));
+  this->priority.rank = static_cast<std::uint16_t>(request.rank());
+  this->deadline = this->arrived_at + std::chrono::microseconds(request.remaining_us());
+  this->wait_bound = request.inner() ? kInnerWaitBound : kCallerWaitBound;
+  this->running.priority = this->priority;
+  this->running.repeated = request.repeated();
+}
+
+LocalExecution::~LocalExecution() {
+  this->executor.timers.Cancel(*this);
+}
+
+void LocalExecution::Start() {
+  this->executor.admission.Offer(*this);
+}
+
+void LocalExecution::Cancel() {
+  const Ref<LocalExecution> keep(this);
+  this->observer = nullptr;
+  if (this->executor.admission.Withdraw(*this)) {
+    this->ended = true;
+    this->executor.OnEnded(*this);
+    return;
+  }
+  // A run that must not be repeated goes on: breaking it off would leave its outcome open.
+  if (this->is_running && this->request.idempotent()) {
+    ++this->executor.statistics.cancelled;
+    this->connection->Abort();
+    this->EndRun(Completion::kCancelled);
+    this->ended = true;
+    this->executor.OnEnded(*this);
+  }
+}
+
+void LocalExecution::Abandon() {
+  this->observer = nullptr;
+  this->ended = true;
+  if (this->is_running) {
+    this->connection->Abort();
+    this->EndRun(Completion::kCancelled);
+  } else {
+    this->executor.admission.Withdraw(*this);
+  }
+}
+
+void LocalExecution::Refuse(ErrorKind kind, Duration retry_after) {
+  this->ReplyError(kind, false, retry_after);
+}
+
+void LocalExecution::OnAdmitted() {
+  this->started_at = this->executor.clock.Now();
+  this->is_running = true;
+  ++this->executor.statistics.started;
+  this->executor.running.Add(this->request.request_id(), this->running);
+  this->executor.timers.Schedule(*this, this->deadline + kAnswerMargin);
+  HttpCall call;
+  call.message = this->BuildMessage();
+  call.head = this->request.method() == "HEAD";
+  call.echo_name = this->executor.dialect.request_id;
+  call.echo_value = this->request.request_id();
+  call.max_idle = this->request.idempotent() ? kMaxIdleForIdempotent : kMaxIdleForOthers;
+  this->connection = this->executor.client.Call(std::move(call), *this);
+}
+
+void LocalExecution::OnRefused(ErrorKind kind, Duration retry_after) {
+  this->ReplyError(kind, false, retry_after);
+}
+
+std::string LocalExecution::BuildMessage() const {
+  const HttpDialect& dialect = this->executor.dialect;
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+      this->deadline - this->executor.clock.Now());
+  std::string message;
+  message.reserve(this->request.header_lines().size() + this->request.body().size() + 256);
+  message.append(this->request.method()).append(" ").append(this->request.target());
+  message.append(" HTTP/1.1\r\n").append(this->request.header_lines());
+  message.append(dialect.remaining_ms).append(": ");
+  message.append(std::to_string(std::max<std::int64_t>(left.count(), 1))).append("\r\n");
+  message.append(dialect.expected_instance).append(": ").append(this->request.instance());
+  message.append("\r\n");
+  if (HasBody(this->request)) {
+    message.append("Content-Length: ").append(std::to_string(this->request.body().size()));
+    message.append("\r\n");
+  }
+  message.append("\r\n").append(this->request.body());
+  return message;
+}
+
+void LocalExecution::OnResponse(HttpResponse response) {
+  const Ref<LocalExecution> keep(this);
+  const HttpDialect& dialect = this->executor.dialect;
+  const bool success = response.status >= 200 && response.status < 300;
+  const bool sealed = !response.fields.Find(dialect.server_seal).empty();
+  if (!response.keep_alive) {
+    this->executor.connection_close_seen = true;
+  }
+
+  // The server did not run the request.
+  if (response.status == 421) {
+    this->EndRun(Completion::kFailed);
+    this->ReplyError(ErrorKind::kWrongIncarnation, false, Duration::zero());
+    return;
+  }
+  if (!response.fields.Find(dialect.not_executed).empty()) {
+    ++this->executor.statistics.shed;
+    // The node never sends more than the instance has room for, so this refusal says nothing about
+    // the load. A limit that falls for it would take away capacity that is there.
+    this->EndRun(Completion::kFailed);
+    this->ReplyError(ErrorKind::kUpstreamShed, true, Duration::zero());
+    return;
+  }
+  if (!sealed) {
+    // Nothing proves that these are the server's bytes for this request.
+    spdlog::warn("event=response_without_seal id={} status={}", this->request.request_id(),
+                 response.status);
+    ++this->executor.statistics.broken;
+    this->EndRun(Completion::kFailed);
+    this->ReplyError(ErrorKind::kUpstreamBroken, true, Duration::zero());
+    return;
+  }
+
+  ++this->executor.statistics.answered;
+  this->EndRun(success ? Completion::kSuccess : Completion::kFailed);
+  wire::ExecutionReply reply;
+  reply.set_status(static_cast<std::uint32_t>(response.status));
+  reply.set_reason(response.reason);
+  response.fields.AppendEndToEndLines({}, *reply.mutable_header_lines());
+  reply.set_body(std::move(response.body));
+  reply.set_reached_instance(true);
+  this->Finish(reply);
+}
+
+void LocalExecution::OnCallFailed(ErrorKind kind, std::string_view reason) {
+  const Ref<LocalExecution> keep(this);
+  const bool reached = kind != ErrorKind::kUpstreamUnreachable;
+  spdlog::warn("event=upstream_call_failed id={} instance={} error={} reason=\"{}\" ran_us={}",
+               this->request.request_id(), this->request.instance(), GetAnswer(kind).name, reason,
+               std::chrono::duration_cast<std::chrono::microseconds>(this->executor.clock.Now() -
+                                                                     this->started_at)
+                   .count());
+  if (reached) {
+    ++this->executor.statistics.broken;
+  }
+  this->EndRun(reached ? Completion::kFailed : Completion::kUnreachable);
+  this->ReplyError(kind, reached, Duration::zero());
+}
+
+void LocalExecution::OnTimer(TimePoint) {
+  const Ref<LocalExecution> keep(this);
+  this->connection->Abort();
+  ++this->executor.statistics.broken;
+  this->EndRun(Completion::kFailed);
+  this->ReplyError(ErrorKind::kDeadlineExceeded, true, Duration::zero());
+}
+
+void LocalExecution::EndRun(Completion completion) {
+  this->executor.timers.Cancel(*this);
+  this->is_running = false;
+  this->connection.reset();
+  this->executor.running.Remove(this->request.request_id(), this->running);
+  this->executor.admission.Complete(*this, completion,
+                                    this->executor.clock.Now() - this->started_at);
+}
+
+void LocalExecution::ReplyError(ErrorKind kind, bool reached_instance, Duration retry_after) {
+  wire::ExecutionReply reply;
+  reply.set_error(static_cast<std::uint32_t>(kind));
+  reply.set_reached_instance(reached_instance);
+  reply.set_retry_after_ms(static_cast<std::uint32_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(retry_after).count()));
+  this->Finish(reply);
+}
+
+void LocalExecution::Finish(wire::ExecutionReply& reply) {
+  if (this->ended) {
+    return;
+  }
+  this->ended = true;
+  const Ref<LocalExecution> keep(this);
+  if (!reply.reached_instance()) {
+    ++this->executor.statistics.refused;
+  }
+  reply.set_call(this->request.call());
+  reply.set_chain_refused(this->running.chain_refused);
+  reply.set_chain_failed(this->running.chain_failed);
+  reply.set_inner_calls(this->running.inner_calls);
+  FromLoadReport(this->executor.GetLoad(), *reply.mutable_load());
+  ExecutionObserver* const finished = this->observer;
+  this->observer = nullptr;
+  this->executor.OnEnded(*this);
+  if (finished != nullptr) {
+    finished->OnExecutionReply(reply);
+  }
+}
+
+}  // namespace masticpin
--- /dev/null
+++ b/sidecar/local_execution.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <string>
+
+#include "masticpin/admission/admission_request.h"
+#include "masticpin/admission/completion.h"
+#include "masticpin/base/ref_counted.h"
+#include "masticpin/base/timer_subscriber.h"
+#include "masticpin/execution/running_request.h"
+#include "sidecar/execution_observer.h"
+#include "sidecar/http_call_observer.h"
+#include "sidecar/http_client_connection.h"
+
+namespace masticpin {
+
+class LocalExecutor;
+
+/// One request at the own instance, from its arrival at the node to its end.
+class LocalExecution : public RefCounted<LocalExecution>,
+                       public AdmissionRequest,
+                       private HttpCallObserver,
+                       private TimerSubscriber {
+ public:
+  LocalExecution(LocalExecutor& executor,
+                 const wire::ExecutionRequest& request,
+                 ExecutionObserver& observer);
+  ~LocalExecution() override;
+
+  std::uint64_t Call() const { return this->request.call(); }
+
+  /// Offers the request for admission.
+  void Start();
+
+  /// Ends it without a callback.
+  void Cancel();
+
+  /// Ends it without a callback, also a run that must not be repeated. Used when the process ends.
+  void Abandon();
+
+  /// Ends it with an error.
+  void Refuse(ErrorKind kind, Duration retry_after);
+
+ private:
+  void OnAdmitted() override;
+  void OnRefused(ErrorKind kind, Duration retry_after) override;
+  void OnResponse(HttpResponse response) override;
+  void OnCallFailed(ErrorKind kind, std::string_view reason) override;
+  void OnTimer(TimePoint now) override;
+
+  std::string BuildMessage() const;
+  /// Ends the run at the instance in the books of the admission and of the running requests.
+  void EndRun(Completion completion);
+  void ReplyError(ErrorKind kind, bool reached_instance, Duration retry_after);
+  /// Sends the reply and removes the execution.
+  void Finish(wire::ExecutionReply& reply);
+
+  LocalExecutor& executor;
+  const wire::ExecutionRequest request;
+  ExecutionObserver* observer;
+  RunningRequest running;
+  Ref<HttpClientConnection> connection;
+  TimePoint arrived_at{};
+  TimePoint started_at{};
+  bool is_running = false;
+  bool ended = false;
+};
+
+}  // namespace masticpin
--- /dev/null
+++ b/sidecar/local_executor.cc
@@ -0,0 +1,125 @@
+#include "sidecar/local_executor.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "sidecar/local_execution.h"
+
+namespace masticpin {
+namespace {
+
+/// Requests that are sent to the instance above its slots: one eighth, at least two. They wait in the
+/// instance's own queue, so that a slot that becomes free is taken without a round trip to the node.
+std::uint32_t CeilingFor(std::uint32_t slots) {
+  constexpr std::uint32_t kLeastExtra = 2;
+  constexpr std::uint32_t kExtraPart = 8;
+  return slots + std::max(kLeastExtra, slots / kExtraPart);
+}
+
+/// Ceiling until the registry has said how many slots the instance has.
+constexpr std::uint32_t kUnknownSlots = 16;
+
+/// Requests that wait at one node; each holds its message in memory.
+constexpr std::size_t kQueueCapacity = 2000;
+
+AdmissionSettings MakeAdmissionSettings() {
+  AdmissionSettings settings;
+  settings.ceiling = CeilingFor(kUnknownSlots);
+  settings.queue_capacity = kQueueCapacity;
+  // The instance's slots are published and the whole of its requests passes this node, so the limit
+  // starts at the slots and falls only when the instance itself refuses. Response times say nothing
+  // about its load here: they contain the calls to other services.
+  settings.limiter.initial_share = 1;
+  settings.limiter.use_latency = false;
+  return settings;
+}
+
+}  // namespace
+
+LocalExecutor::LocalExecutor(boost::asio::io_context& loop,
+                             const Clock& clock,
+                             TimerService& timers,
+                             RandomSource& random,
+                             const HttpDialect& dialect,
+                             SocketAddress upstream_address)
+    : clock(clock),
+      timers(timers),
+      dialect(dialect),
+      client(loop, clock, timers, std::move(upstream_address)),
+      admission(MakeAdmissionSettings(), clock, timers, random) {}
+
+LocalExecutor::~LocalExecutor() {
+  while (!this->executions.empty()) {
+    const Ref<LocalExecution> execution = this->executions.begin()->second;
+    execution->Abandon();
+    this->executions.erase(execution->Call());
+  }
+}
+
+void LocalExecutor::Execute(const wire::ExecutionRequest& request, ExecutionObserver& observer) {
+  ++this->statistics.offered;
+  const Ref<LocalExecution> execution(new LocalExecution(*this, request, observer));
+  this->executions.emplace(request.call(), execution);
+  if (!this->instance_name.empty() && request.instance() != this->instance_name) {
+    execution->Refuse(ErrorKind::kWrongIncarnation, Duration::zero());
+  } else if (this->instance_leaving) {
+    execution->Refuse(ErrorKind::kDraining, Duration::zero());
+  } else {
+    execution->Start();
+  }
+}
+
+void LocalExecutor::Cancel(std::uint64_t call) {
+  const auto found = this->executions.find(call);
+  if (found != this->executions.end()) {
+    const Ref<LocalExecution> execution = found->second;
+    execution->Cancel();
+  }
+}
+
+void LocalExecutor::SetInstance(const UpstreamInstance* instance) {
+  const bool leaving = instance == nullptr ? !this->instance_name.empty()
+                                           : instance->state == InstanceState::kDraining;
+  if (leaving != this->instance_leaving) {
+    spdlog::info("event=own_instance_{} instance={} revision={}",
+                 leaving ? "leaving" : "in_service",
+                 instance == nullptr ? this->instance_name : instance->name,
+                 instance == nullptr ? 0 : instance->revision);
+  }
+  this->instance_leaving = leaving;
+  if (instance == nullptr) {
+    return;
+  }
+  if (this->incarnation != instance->incarnation || this->instance_name != instance->name) {
+    // Connections to the old process are of no use.
+    this->client.CloseIdle();
+    this->instance_name = instance->name;
+    this->incarnation = instance->incarnation;
+  }
+  this->admission.SetCeiling(CeilingFor(instance->slots));
+}
+
+void LocalExecutor::Drain() {
+  this->admission.Drain();
+}
+
+LoadReport LocalExecutor::GetLoad() const {
+  LoadReport load = this->admission.GetLoad();
+  if (this->instance_leaving) {
+    load.limit = 0;
+  }
+  return load;
+}
+
+bool LocalExecutor::TakeConnectionCloseSeen() {
+  const bool seen = this->connection_close_seen;
+  this->connection_close_seen = false;
+  return seen;
+}
+
+void LocalExecutor::OnEnded(LocalExecution& execution) {
+  this->executions.erase(execution.Call());
+}
+
+}  // namespace masticpin
--- /dev/null
+++ b/sidecar/local_executor.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+
+#include "masticpin/admission/admission_controller.h"
+#include "masticpin/base/clock.h"
+#include "masticpin/base/random_source.h"
+#include "masticpin/base/ref_counted.h"
+#include "masticpin/base/timer_service.h"
+#include "masticpin/execution/running_request_table.h"
+#include "masticpin/routing/upstream_instance.h"
+#include "sidecar/execution_target.h"
+#include "sidecar/http_client.h"
+#include "sidecar/http_dialect.h"
+#include "sidecar/local_executor_statistics.h"
+
+namespace masticpin {
+
+class LocalExecution;
+
+/// Runs requests at the own instance: decides which of them may start, and when, passes them on over
+/// kept connections, and tells apart what ran and what did not.
+class LocalExecutor : public ExecutionTarget {
+ public:
+  /// All arguments must outlive the executor.
+  LocalExecutor(boost::asio::io_context& loop,
+                const Clock& clock,
+                TimerService& timers,
+                RandomSource& random,
+                const HttpDialect& dialect,
+                SocketAddress upstream_address);
+  ~LocalExecutor() override;
+
+  void Execute(const wire::ExecutionRequest& request, ExecutionObserver& observer) override;
+  void Cancel(std::uint64_t call) override;
+
+  /// What the registry says about the own instance; nullptr if it does not list it. An instance that
+  /// is draining or was removed gets no new requests.
+  void SetInstance(const UpstreamInstance* instance);
+
+  /// Refuses all requests that did not start yet.
+  void Drain();
+
+  LoadReport GetLoad() const;
+
+  /// The requests that the own instance runs now.
+  RunningRequestTable& Running() { return this->running; }
+
+  bool IsBusy() const { return !this->executions.empty(); }
+
+  const LocalExecutorStatistics& Statistics() const { return this->statistics; }
+  std::uint64_t OpenedConnections() const { return this->client.Opened(); }
+
+  /// Whether a response said that the instance ends its connections, which it does before it leaves;
+  /// the flag is cleared by this call.
+  bool TakeConnectionCloseSeen();
+
+ private:
+  friend class LocalExecution;
+
+  void OnEnded(LocalExecution& execution);
+
+  const Clock& clock;
+  TimerService& timers;
+  const HttpDialect& dialect;
+  HttpClient client;
+  AdmissionController admission;
+  RunningRequestTable running;
+  std::unordered_map<std::uint64_t, Ref<LocalExecution>> executions;
+  LocalExecutorStatistics statistics;
+
+  /// Name of the own instance; empty until the registry has listed it.
+  std::string instance_name;
+  std::uint64_t incarnation = 0;
+  bool instance_leaving = false;
+  bool connection_close_seen = false;
+};
+
+}  // namespace masticpin
--- /dev/null
+++ b/sidecar/loop_timer_service.cc
@@ -0,0 +1,36 @@
+#include "sidecar/loop_timer_service.h"
+
+namespace masticpin {
+
+LoopTimerService::LoopTimerService(boost::asio::io_context& loop, const Clock& clock)
+    : clock(clock), timer(loop) {}
+
+void LoopTimerService::Schedule(TimerSubscriber& subscriber, TimePoint due) {
+  this->queue.Schedule(subscriber, due);
+  this->Arm();
+}
+
+void LoopTimerService::Cancel(TimerSubscriber& subscriber) {
+  // The timer of the loop stays set: a call that finds nothing due is cheaper than setting it again
+  // for each request that ends before its deadline.
+  this->queue.Cancel(subscriber);
+}
+
+void LoopTimerService::Arm() {
+  const std::optional<TimePoint> due = this->queue.NextDue();
+  if (!due || *due >= this->armed_for) {
+    return;
+  }
+  this->armed_for = *due;
+  this->timer.expires_at(*due);
+  this->timer.async_wait([this](const boost::system::error_code& error) {
+    if (error) {
+      return;  // Replaced by an earlier time, or the loop ends.
+    }
+    this->armed_for = TimePoint::max();
+    this->queue.RunDue(this->clock.Now());
+    this->Arm();
+  });
+}
+
+}  // namespace masticpin
--- /dev/null
+++ b/sidecar/origin_request.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "masticpin/admission/priority.h"
+#include "masticpin/base/ref_counted.h"
+#include "masticpin/base/timer_subscriber.h"
+#include "masticpin/execution/running_request.h"
+#include "masticpin/routing/placement_outcome.h"
+#include "masticpin/routing/routing_configuration.h"
+#include "sidecar/caller_observer.h"
+#include "sidecar/execution_observer.h"
+#include "sidecar/execution_target.h"
+#include "sidecar/http_exchange.h"
+#include "sidecar/peer_link.h"
+
+namespace masticpin {
+
+class RequestOrigin;
+
+/// One request of a caller or of the own instance, from its arrival to its answer: chooses where it
+/// runs, sends it there, and repeats that where it certainly did not run or may run twice.
+class OriginRequest : public RefCounted<OriginRequest>,
+                      private CallerObserver,
+                      private ExecutionObserver,
+                      private TimerSubscriber {
+ public:
+  OriginRequest(RequestOrigin& origin, Ref<HttpExchange> exchange);
+  ~OriginRequest() override;
+
+  void Start();
+
+ private:
+  void OnCallerGone() override;
+  void OnExecutionReply(const wire::ExecutionReply& reply) override;
+  void OnExecutionLost(ErrorKind kind, std::string_view reason) override;
+  void OnTimer(TimePoint now) override;
+
+  /// Reads the id, the deadline and what the request inherits from the one that caused it.
+  void ReadContext();
+  /// Draws the service among the destinations of the route.
+  void DrawService();
+  /// Sends the request to an instance, or answers it if there is none.
+  void Send();
+  wire::ExecutionRequest BuildRequest(std::uint64_t call, const std::string& instance) const;
+  /// Handles the end of an attempt without a response that can be passed on.
+  void OnAttemptFailed(ErrorKind kind, Duration retry_after, std::string_view reason);
+  /// Whether another attempt is allowed after `kind`; counts it.
+  bool TakeRetry(ErrorKind kind);
+  void EndAttempt(PlacementOutcome outcome);
+  void Answer(const wire::ExecutionReply& reply);
+  void Refuse(ErrorKind kind, Duration retry_after, std::string_view reason);
+  void Finish(CallerReply reply);
+  /// Tells the request that caused this one how it ended.
+  void ReportToParent(bool failed) const;
+  Duration TimeLeft() const;
+
+  RequestOrigin& origin;
+  const Ref<HttpExchange> exchange;
+  const Ref<const RoutingConfiguration> configuration;
+  const Route* route = nullptr;
+  std::string id;
+  std::string service;
+  Priority priority;
+  TimePoint deadline{};
+  bool inner = false;
+  bool repeated = false;
+  /// Whether the entry throttle of the route waits for the end of the request.
+  bool counted_by_throttle = false;
+  bool refused_for_load = false;
+  /// An attempt ended without proof that the request did not run.
+  bool may_have_run = false;
+  bool finished = false;
+
+  /// Keeps the request alive until it is finished.
+  Ref<OriginRequest> self;
+
+  /// The present attempt; 0 while there is none.
+  std::uint64_t call = 0;
+  std::string instance;
+  ExecutionTarget* target = nullptr;
+  /// Keeps the connection alive while the request uses it; nullptr for the own instance.
+  Ref<PeerLink> link;
+  std::vector<std::string> tried;
+  /// Instances that the request reached, and sends of all kinds.
+  std::uint32_t reached = 0;
+  std::uint32_t sends = 0;
+  /// Calls that the last attempt caused; another attempt is likely to cause as many.
+  std::uint32_t inner_calls = 0;
+};
+
+}  // namespace masticpin
--- /dev/null
+++ b/sidecar/peer_link.cc
@@ -0,0 +1,226 @@
+#include "sidecar/peer_link.h"
+
+#include <spdlog/spdlog.h>
+
+#include <utility>
+
+#include "sidecar/peer_protocol.h"
+#include "sidecar/tcp_address.h"
+
+namespace masticpin {
+namespace {
+
+/// Zones are milliseconds apart; the platform's callers allow a second for a connection.
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(700);
+
+/// Silence of a node with requests after which it is asked for a sign of life, and the further
+/// silence after which it is given up. A node whose share of the processor is used up pauses for up
+/// to a tenth of a second, a slowed one for several; together they stay below the shortest time
+/// limits of requests that could still be sent elsewhere.
+constexpr Duration kSilenceBeforeQuestion = std::chrono::milliseconds(500);
+constexpr Duration kSilenceAfterQuestion = std::chrono::milliseconds(700);
+
+/// A connection without requests is closed after this time.
+constexpr Duration kIdleTimeout = std::chrono::seconds(30);
+
+}  // namespace
+
+PeerLink::PeerLink(boost::asio::io_context& loop,
+                   const Clock& clock,
+                   TimerService& timers,
+                   PeerLinkObserver& observer,
+                   std::string instance,
+                   SocketAddress address)
+    : loop(loop),
+      clock(clock),
+      timers(timers),
+      observer(observer),
+      instance(std::move(instance)),
+      address(std::move(address)) {}
+
+PeerLink::~PeerLink() {
+  this->timers.Cancel(*this);
+  if (this->stream != nullptr) {
+    this->stream->Close();
+  }
+}
+
+void PeerLink::Execute(const wire::ExecutionRequest& request, ExecutionObserver& call_observer) {
+  wire::PeerFrame frame;
+  *frame.mutable_request() = request;
+  const TimePoint now = this->clock.Now();
+  if (this->calls.empty()) {
+    // Silence counts from the first request on.
+    this->last_heard = now;
+    this->asked_for_life = false;
+  }
+  this->calls[request.call()] = &call_observer;
+  this->last_sent = now;
+  switch (this->state) {
+    case State::kClosed:
+      this->waiting.push_back(std::move(frame));
+      this->Connect();
+      break;
+    case State::kConnecting:
+      this->waiting.push_back(std::move(frame));
+      break;
+    case State::kOpen:
+      this->stream->Send(frame);
+      this->timers.Schedule(*this, this->last_heard + kSilenceBeforeQuestion);
+      break;
+  }
+}
+
+void PeerLink::Cancel(std::uint64_t call) {
+  if (this->calls.erase(call) == 0) {
+    return;
+  }
+  if (this->state == State::kOpen) {
+    wire::PeerFrame frame;
+    frame.mutable_cancel()->set_call(call);
+    this->stream->Send(frame);
+    return;
+  }
+  std::erase_if(this->waiting, [call](const wire::PeerFrame& frame) {
+    return frame.request().call() == call;
+  });
+}
+
+void PeerLink::Close() {
+  const Ref<PeerLink> keep(this);
+  this->Fail(ErrorKind::kPeerLost, "connection is not used any more");
+}
+
+void PeerLink::Connect() {
+  this->state = State::kConnecting;
+  this->timers.Schedule(*this, this->clock.Now() + kConnectTimeout);
+  this->connecting = std::make_unique<boost::asio::ip::tcp::socket>(this->loop);
+  this->connecting->async_connect(
+      ToEndpoint(this->address),
+      [self = Ref<PeerLink>(this),
+       socket = this->connecting.get()](const boost::system::error_code& error) {
+        if (self->connecting.get() != socket) {
+          return;  // Given up meanwhile.
+        }
+        if (error) {
+          self->Fail(ErrorKind::kUpstreamUnreachable, error.message());
+          return;
+        }
+        self->OnConnected();
+      });
+}
+
+void PeerLink::OnConnected() {
+  EnableFastLossDetection(*this->connecting);
+  this->state = State::kOpen;
+  this->stream = Ref<FrameStream>(new FrameStream(std::move(*this->connecting), *this));
+  this->connecting.reset();
+  this->last_heard = this->clock.Now();
+  this->timers.Schedule(*this, this->last_heard + kSilenceBeforeQuestion);
+  wire::PeerFrame hello;
+  hello.mutable_hello()->set_protocol(kPeerProtocol);
+  hello.mutable_hello()->set_instance(this->instance);
+  this->stream->Send(hello);
+  for (const wire::PeerFrame& frame : this->waiting) {
+    this->stream->Send(frame);
+  }
+  this->waiting.clear();
+  this->stream->Start();
+}
+
+void PeerLink::OnFrame(wire::PeerFrame& frame) {
+  const Ref<PeerLink> keep(this);
+  this->last_heard = this->clock.Now();
+  this->asked_for_life = false;
+  switch (frame.body_case()) {
+    case wire::PeerFrame::kReply: {
+      const wire::ExecutionReply& reply = frame.reply();
+      this->observer.OnPeerLoad(this->instance, ToLoadReport(reply.load()));
+      const auto found = this->calls.find(reply.call());
+      if (found != this->calls.end()) {
+        ExecutionObserver* const finished = found->second;
+        this->calls.erase(found);
+        finished->OnExecutionReply(reply);
+      }
+      break;
+    }
+    case wire::PeerFrame::kKeepAliveReply:
+      this->observer.OnPeerLoad(this->instance, ToLoadReport(frame.keep_alive_reply().load()));
+      break;
+    case wire::PeerFrame::kLeaving:
+      this->observer.OnPeerLeaving(this->instance);
+      break;
+    default:
+      spdlog::warn("event=unexpected_frame peer={} frame={}", this->instance,
+                   static_cast<int>(frame.body_case()));
+      break;
+  }
+}
+
+void PeerLink::OnStreamClosed(std::string_view reason) {
+  const Ref<PeerLink> keep(this);
+  this->Fail(ErrorKind::kPeerLost, reason);
+}
+
+void PeerLink::OnTimer(TimePoint now) {
+  const Ref<PeerLink> keep(this);
+  if (this->state == State::kConnecting) {
+    this->Fail(ErrorKind::kUpstreamUnreachable, "connect timed out");
+    return;
+  }
+  if (this->state != State::kOpen) {
+    return;
+  }
+  if (this->calls.empty()) {
+    if (now - this->last_sent >= kIdleTimeout) {
+      this->Fail(ErrorKind::kPeerLost, "idle");
+      return;
+    }
+    this->timers.Schedule(*this, this->last_sent + kIdleTimeout);
+    return;
+  }
+  const Duration silence = now - this->last_heard;
+  if (silence < kSilenceBeforeQuestion) {
+    this->timers.Schedule(*this, this->last_heard + kSilenceBeforeQuestion);
+    return;
+  }
+  if (!this->asked_for_life) {
+    this->asked_for_life = true;
+    wire::PeerFrame frame;
+    frame.mutable_keep_alive();
+    this->stream->Send(frame);
+    this->timers.Schedule(*this, now + kSilenceAfterQuestion);
+    return;
+  }
+  this->Fail(ErrorKind::kPeerLost, "no sign of life");
+}
+
+void PeerLink::Fail(ErrorKind kind, std::string_view reason) {
+  if (this->state == State::kClosed) {
+    return;
+  }
+  const std::string text(reason);
+  if (!this->calls.empty()) {
+    spdlog::warn("event=peer_lost peer={} address={} requests={} error={} reason=\"{}\"",
+                 this->instance, this->address.ToString(), this->calls.size(),
+                 GetAnswer(kind).name, text);
+  }
+  this->state = State::kClosed;
+  this->timers.Cancel(*this);
+  this->connecting.reset();
+  this->waiting.clear();
+  if (this->stream != nullptr) {
+    this->stream->Close();
+    this->stream.reset();
+  }
+  // An observer may start a new request, which opens the connection again.
+  std::map<std::uint64_t, ExecutionObserver*> lost;
+  lost.swap(this->calls);
+  while (!lost.empty()) {
+    ExecutionObserver* const finished = lost.begin()->second;
+    lost.erase(lost.begin());
+    finished->OnExecutionLost(kind, text);
+  }
+}
+
+}  // namespace masticpin
--- /dev/null
+++ b/sidecar/peer_link.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "masticpin/base/clock.h"
+#include "masticpin/base/ref_counted.h"
+#include "masticpin/base/socket_address.h"
+#include "masticpin/base/timer_service.h"
+#include "sidecar/execution_target.h"
+#include "sidecar/frame_stream.h"
+#include "sidecar/peer_link_observer.h"
+
+namespace masticpin {
+
+/// The connection over which this node sends requests to one other node. It is opened by the first
+/// request and closed when it has been idle. A node that stays silent while it has requests is
+/// asked for a sign of life and then given up.
+class PeerLink : public RefCounted<PeerLink>,
+                 public ExecutionTarget,
+                 private FrameObserver,
+                 private TimerSubscriber {
+ public:
+  /// `instance` is the name of the instance beside the other node, `own_instance` of the own one.
+  PeerLink(boost::asio::io_context& loop,
+           const Clock& clock,
+           TimerService& timers,
+           PeerLinkObserver& observer,
+           std::string instance,
+           SocketAddress address);
+  ~PeerLink() override;
+
+  void Execute(const wire::ExecutionRequest& request, ExecutionObserver& observer) override;
+  void Cancel(std::uint64_t call) override;
+
+  /// Gives up the connection and all requests on it.
+  void Close();
+
+  const SocketAddress& Address() const { return this->address; }
+  bool HasRequests() const { return !this->calls.empty(); }
+
+ private:
+  enum class State : std::uint8_t { kClosed, kConnecting, kOpen };
+
+  void OnFrame(wire::PeerFrame& frame) override;
+  void OnStreamClosed(std::string_view reason) override;
+  void OnTimer(TimePoint now) override;
+  void Connect();
+  void OnConnected();
+  /// Ends the connection and all requests on it with `kind`.
+  void Fail(ErrorKind kind, std::string_view reason);
+
+  boost::asio::io_context& loop;
+  const Clock& clock;
+  TimerService& timers;
+  PeerLinkObserver& observer;
+  const std::string instance;
+  const SocketAddress address;
+
+  State state = State::kClosed;
+  std::unique_ptr<boost::asio::ip::tcp::socket> connecting;
+  Ref<FrameStream> stream;
+  /// Requests that wait for the connection.
+  std::vector<wire::PeerFrame> waiting;
+  std::map<std::uint64_t, ExecutionObserver*> calls;
+  TimePoint last_heard{};
+  TimePoint last_sent{};
+  bool asked_for_life = false;
+};
+
+}  // namespace masticpin
--- /dev/null
+++ b/sidecar/peer_listener.cc
@@ -0,0 +1,80 @@
+#include "sidecar/peer_listener.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "sidecar/tcp_address.h"
+
+namespace masticpin {
+namespace {
+
+/// Pause after accept() failed, usually because the process has no free descriptor.
+constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
+
+/// Nodes that connect at the same moment; all of a large fleet do so after it was restarted.
+constexpr int kBacklog = 1024;
+
+}  // namespace
+
+PeerListener::PeerListener(boost::asio::io_context& loop,
+                           LocalExecutor& executor,
+                           const Clock& clock,
+                           TimerService& timers)
+    : acceptor(loop), executor(executor), clock(clock), timers(timers) {}
+
+PeerListener::~PeerListener() {
+  this->timers.Cancel(*this);
+  while (!this->sessions.empty()) {
+    this->sessions.front().Close();
+  }
+}
+
+std::string PeerListener::Listen(const SocketAddress& address) {
+  const std::string error = OpenAcceptor(this->acceptor, address, kBacklog);
+  if (error.empty()) {
+    this->Accept();
+  }
+  return error;
+}
+
+void PeerListener::AnnounceLeaving() {
+  this->leaving = true;
+  for (PeerSession& session : this->sessions) {
+    session.AnnounceLeaving();
+  }
+}
+
+bool PeerListener::IsBusy() const {
+  return std::any_of(this->sessions.begin(), this->sessions.end(),
+                     [](const PeerSession& session) { return session.IsBusy(); });
+}
+
+void PeerListener::OnTimer(TimePoint) {
+  this->Accept();
+}
+
+void PeerListener::Accept() {
+  this->acceptor.async_accept([this](const boost::system::error_code& error,
+                                     boost::asio::ip::tcp::socket socket) {
+    if (!this->acceptor.is_open()) {
+      return;
+    }
+    if (error) {
+      spdlog::warn("event=accept_failed reason=\"{}\"", error.message());
+      this->timers.Schedule(*this, this->clock.Now() + kAcceptPause);
+      return;
+    }
+    EnableFastLossDetection(socket);
+    const Ref<PeerSession> session(
+        new PeerSession(std::move(socket), this->executor, this->next_call));
+    this->sessions.push_back(*session);
+    session->Start();
+    if (this->leaving) {
+      session->AnnounceLeaving();
+    }
+    this->Accept();
+  });
+}
+
+}  // namespace masticpin
--- /dev/null
+++ b/sidecar/peer_listener.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/intrusive/list.hpp>
+#include <string>
+
+#include "masticpin/base/clock.h"
+#include "masticpin/base/socket_address.h"
+#include "masticpin/base/timer_service.h"
+#include "sidecar/local_executor.h"
+#include "sidecar/peer_session.h"
+
+namespace masticpin {
+
+/// Accepts other nodes.
+class PeerListener : private TimerSubscriber {
+ public:
+  /// All arguments must outlive the listener.
+  PeerListener(boost::asio::io_context& loop,
+               LocalExecutor& executor,
+               const Clock& clock,
+               TimerService& timers);
+  ~PeerListener() override;
+
+  /// Returns an error text if the address cannot be bound, or an empty text.
+  std::string Listen(const SocketAddress& address);
+
+  /// Tells all connected nodes that this one is about to stop.
+  void AnnounceLeaving();
+
+  bool IsBusy() const;
+
+ private:
+  void OnTimer(TimePoint now) override;
+  void Accept();
+
+  boost::asio::ip::tcp::acceptor acceptor;
+  LocalExecutor& executor;
+  const Clock& clock;
+  TimerService& timers;
+  boost::intrusive::list<PeerSession, boost::intrusive::constant_time_size<false>> sessions;
+  /// Calls of other nodes have numbers from here on; those of the own origin are smaller.
+  std::uint64_t next_call = std::uint64_t{1} << 62;
+  bool leaving = false;
+};
+
+}  // namespace masticpin
--- /dev/null
+++ b/sidecar/peer_network.cc
@@ -0,0 +1,46 @@
+#include "sidecar/peer_network.h"
+
+namespace masticpin {
+
+PeerNetwork::PeerNetwork(boost::asio::io_context& loop,
+                         const Clock& clock,
+                         TimerService& timers,
+                         PeerLinkObserver& observer,
+                         std::uint16_t peer_port)
+    : loop(loop), clock(clock), timers(timers), observer(observer), peer_port(peer_port) {}
+
+PeerNetwork::~PeerNetwork() {
+  for (const auto& [name, link] : this->links) {
+    link->Close();
+  }
+}
+
+Ref<PeerLink> PeerNetwork::LinkTo(const UpstreamInstance& instance) {
+  const SocketAddress address{instance.address.ip, this->peer_port};
+  Ref<PeerLink>& link = this->links[instance.name];
+  if (link != nullptr && !(link->Address() == address)) {
+    link->Close();
+    link.reset();
+  }
+  if (link == nullptr) {
+    link = Ref<PeerLink>(new PeerLink(this->loop, this->clock, this->timers, this->observer,
+                                      instance.name, address));
+  }
+  return link;
+}
+
+void PeerNetwork::OnInstance(const UpstreamInstance&) {}
+
+void PeerNetwork::OnInstanceRemoved(std::string_view name) {
+  const auto found = this->links.find(std::string(name));
+  if (found == this->links.end()) {
+    return;
+  }
+  // Requests in progress end on the connection; after that, it closes because it is idle.
+  if (!found->second->HasRequests()) {
+    found->second->Close();
+  }
+  this->links.erase(found);
+}
+
+}  // namespace masticpin
--- /dev/null
+++ b/sidecar/peer_network.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "masticpin/base/clock.h"
+#include "masticpin/base/ref_counted.h"
+#include "masticpin/base/timer_service.h"
+#include "masticpin/routing/instance_directory_observer.h"
+#include "sidecar/peer_link.h"
+#include "sidecar/peer_link_observer.h"
+
+namespace masticpin {
+
+/// The connections of this node to the nodes beside other instances.
+class PeerNetwork : public InstanceDirectoryObserver {
+ public:
+  /// `peer_port` is the port at which all nodes of the deployment accept each other.
+  PeerNetwork(boost::asio::io_context& loop,
+              const Clock& clock,
+              TimerService& timers,
+              PeerLinkObserver& observer,
+              std::uint16_t peer_port);
+  ~PeerNetwork() override;
+
+  /// Returns the connection to the node beside an instance.
+  Ref<PeerLink> LinkTo(const UpstreamInstance& instance);
+
+  void OnInstance(const UpstreamInstance& instance) override;
+  void OnInstanceRemoved(std::string_view name) override;
+
+ private:
+  boost::asio::io_context& loop;
+  const Clock& clock;
+  TimerService& timers;
+  PeerLinkObserver& observer;
+  const std::uint16_t peer_port;
+  /// By name of the instance.
+  std::unordered_map<std::string, Ref<PeerLink>> links;
+};
+
+}  // namespace masticpin
--- /dev/null
+++ b/sidecar/peer_protocol.cc
@@ -0,0 +1,16 @@
+#include "sidecar/peer_protocol.h"
+
+namespace masticpin {
+
+LoadReport ToLoadReport(const wire::LoadReport& load) {
+  return LoadReport{load.limit(), load.in_flight(), load.queued(), load.threshold()};
+}
+
+void FromLoadReport(const LoadReport& load, wire::LoadReport& message) {
+  message.set_limit(load.limit);
+  message.set_in_flight(load.in_flight);
+  message.set_queued(load.queued);
+  message.set_threshold(load.threshold);
+}
+
+}  // namespace masticpin
--- /dev/null
+++ b/sidecar/peer_protocol.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <cstdint>
+
+#include "masticpin/error/answer_table.h"
+#include "masticpin/routing/load_report.h"
+#include "masticpin/routing/load_report.pb.h"
+
+namespace masticpin {
+
+/// Version of the frames between nodes. A change that old nodes cannot read raises it.
+inline constexpr std::uint32_t kPeerProtocol = 1;
+
+LoadReport ToLoadReport(const wire::LoadReport& load);
+void FromLoadReport(const LoadReport& load, wire::LoadReport& message);
+
+}  // namespace masticpin
--- /dev/null
+++ b/sidecar/peer_session.cc
@@ -0,0 +1,113 @@
+#include "sidecar/peer_session.h"
+
+#include <spdlog/spdlog.h>
+
+#include <utility>
+
+#include "sidecar/peer_protocol.h"
+
+namespace masticpin {
+
+PeerSession::PeerSession(boost::asio::ip::tcp::socket socket,
+                         LocalExecutor& executor,
+                         std::uint64_t& next_call)
+    : executor(executor),
+      next_call(next_call),
+      stream(new FrameStream(std::move(socket), *this)) {}
+
+PeerSession::~PeerSession() {
+  this->stream->Close();
+}
+
+void PeerSession::Start() {
+  this->self = Ref<PeerSession>(this);
+  this->stream->Start();
+}
+
+void PeerSession::AnnounceLeaving() {
+  wire::PeerFrame frame;
+  frame.mutable_leaving();
+  this->stream->Send(frame);
+}
+
+void PeerSession::Close() {
+  const Ref<PeerSession> keep = std::move(this->self);
+  this->PeerSessionHook::unlink();
+  this->stream->Close();
+  // Nobody waits for these requests any more.
+  std::map<std::uint64_t, std::unique_ptr<Execution>> abandoned;
+  abandoned.swap(this->executions);
+  for (const auto& [peer_call, execution] : abandoned) {
+    this->executor.Cancel(execution->Call());
+  }
+}
+
+void PeerSession::OnFrame(wire::PeerFrame& frame) {
+  const Ref<PeerSession> keep(this);
+  switch (frame.body_case()) {
+    case wire::PeerFrame::kHello:
+      if (frame.hello().protocol() != kPeerProtocol) {
+        spdlog::warn("event=unknown_peer_protocol protocol={}", frame.hello().protocol());
+        this->Close();
+      }
+      break;
+    case wire::PeerFrame::kRequest:
+      this->OnRequest(*frame.mutable_request());
+      break;
+    case wire::PeerFrame::kCancel: {
+      const auto found = this->executions.find(frame.cancel().call());
+      if (found != this->executions.end()) {
+        const std::uint64_t call = found->second->Call();
+        this->executions.erase(found);
+        this->executor.Cancel(call);
+      }
+      break;
+    }
+    case wire::PeerFrame::kKeepAlive: {
+      wire::PeerFrame reply;
+      FromLoadReport(this->executor.GetLoad(), *reply.mutable_keep_alive_reply()->mutable_load());
+      this->stream->Send(reply);
+      break;
+    }
+    default:
+      spdlog::warn("event=unexpected_frame frame={}", static_cast<int>(frame.body_case()));
+      break;
+  }
+}
+
+void PeerSession::OnStreamClosed(std::string_view reason) {
+  if (!this->executions.empty()) {
+    spdlog::info("event=peer_session_closed requests={} reason=\"{}\"", this->executions.size(),
+                 reason);
+  }
+  this->Close();
+}
+
+void PeerSession::OnRequest(wire::ExecutionRequest& request) {
+  const std::uint64_t peer_call = request.call();
+  const std::uint64_t call = this->next_call++;
+  auto execution = std::make_unique<Execution>(*this, peer_call, call);
+  ExecutionObserver& observer = *execution;
+  if (!this->executions.emplace(peer_call, std::move(execution)).second) {
+    spdlog::warn("event=duplicate_call call={}", peer_call);
+    return;
+  }
+  request.set_call(call);
+  this->executor.Execute(request, observer);
+}
+
+void PeerSession::Execution::OnExecutionReply(const wire::ExecutionReply& reply) {
+  wire::PeerFrame frame;
+  *frame.mutable_reply() = reply;
+  frame.mutable_reply()->set_call(this->peer_call);
+  PeerSession& owner = this->session;
+  owner.stream->Send(frame);
+  owner.executions.erase(this->peer_call);  // Destroys this object.
+}
+
+void PeerSession::Execution::OnExecutionLost(ErrorKind kind, std::string_view reason) {
+  spdlog::warn("event=execution_lost error={} reason=\"{}\"", GetAnswer(kind).name, reason);
+  this->session.executions.erase(this->peer_call);  // Destroys this object.
+}
+
+}  // namespace masticpin
--- /dev/null
+++ b/sidecar/request_origin.cc
@@ -0,0 +1,72 @@
+#include "sidecar/request_origin.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "sidecar/origin_request.h"
+
+namespace masticpin {
+
+RequestOrigin::RequestOrigin(const Settings& settings,
+                             const HttpDialect& dialect,
+                             const Clock& clock,
+                             TimerService& timers,
+                             RandomSource& random,
+                             const InstanceDirectory& directory,
+                             InstancePlacer& placer,
+                             PeerNetwork& peers,
+                             LocalExecutor& executor,
+                             MetricsRegistry& metrics)
+    : settings(settings),
+      dialect(dialect),
+      clock(clock),
+      timers(timers),
+      random(random),
+      directory(directory),
+      placer(placer),
+      peers(peers),
+      executor(executor),
+      metrics(metrics),
+      latency(metrics.GetHistogram("masticpin_request_seconds",
+                                   "Time from the arrival of a request to its answer.")) {}
+
+RequestOrigin::~RequestOrigin() = default;
+
+void RequestOrigin::OnRequest(Ref<HttpExchange> exchange) {
+  const Ref<OriginRequest> request(new OriginRequest(*this, std::move(exchange)));
+  request->Start();
+}
+
+RequestLimits RequestOrigin::Limits() const {
+  return this->configuration == nullptr ? RequestLimits{} : this->configuration->Limits();
+}
+
+void RequestOrigin::SetConfiguration(Ref<const RoutingConfiguration> new_configuration) {
+  this->configuration = std::move(new_configuration);
+  std::erase_if(this->throttles, [this](const auto& entry) {
+    return std::none_of(this->configuration->Routes().begin(), this->configuration->Routes().end(),
+                        [&](const Route& route) { return route.name == entry.first; });
+  });
+}
+
+void RequestOrigin::SetRetries(const RetryAllowanceSettings& retries) {
+  const RetryAllowanceSettings& old = this->settings.retries;
+  if (old.ratio != retries.ratio || old.slack != retries.slack || old.window != retries.window) {
+    this->settings.retries = retries;
+    this->allowances.clear();
+  }
+}
+
+std::uint64_t RequestOrigin::ConfigurationVersion() const {
+  return this->configuration == nullptr ? 0 : this->configuration->Version();
+}
+
+RetryAllowance& RequestOrigin::AllowanceFor(const std::string& service) {
+  return this->allowances.try_emplace(service, this->clock, this->settings.retries).first->second;
+}
+
+EntryThrottle& RequestOrigin::ThrottleFor(const Route& route) {
+  return this->throttles.try_emplace(route.name, this->clock).first->second;
+}
+
+}  // namespace masticpin
--- /dev/null
+++ b/sidecar/sidecar_node.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "masticpin/base/clock.h"
+#include "masticpin/base/random_source.h"
+#include "masticpin/metrics/metrics_registry.h"
+#include "masticpin/routing/instance_directory.h"
+#include "masticpin/routing/instance_placer.h"
+#include "masticpin/settings/sidecar_settings.h"
+#include "sidecar/deployment_observer.h"
+#include "sidecar/deployment_source.h"
+#include "sidecar/http_listener.h"
+#include "sidecar/local_executor.h"
+#include "sidecar/loop_timer_service.h"
+#include "sidecar/peer_link_observer.h"
+#include "sidecar/peer_listener.h"
+#include "sidecar/peer_network.h"
+#include "sidecar/request_origin.h"
+#include "sidecar/status_handler.h"
+
+namespace masticpin {
+
+/// The whole node beside one instance, on one event loop.
+class SidecarNode : private DeploymentObserver, private PeerLinkObserver, private TimerSubscriber {
+ public:
+  /// Reads the settings file again; returns nothing if it is not valid now.
+  using SettingsReader = std::function<std::optional<SidecarSettings>()>;
+
+  /// All references must outlive the node.
+  SidecarNode(boost::asio::io_context& loop,
+              const Clock& clock,
+              LoopTimerService& timers,
+              RandomSource& random,
+              const SidecarSettings& settings,
+              SettingsReader read_settings,
+              DeploymentSource& source);
+  ~SidecarNode() override;
+
+  /// Opens all addresses. Returns an error text, or an empty text.
+  std::string Start();
+
+  /// Stops the node: it finishes what is in progress and then ends the loop.
+  void Stop();
+
+ private:
+  void OnConfiguration(Ref<const RoutingConfiguration> configuration) override;
+  void OnInstanceList(const std::vector<UpstreamInstance>& list, std::uint64_t revision) override;
+  void OnInstanceEntry(const UpstreamInstance& instance) override;
+  void OnInstanceEntryMissing(std::string_view name, std::uint64_t revision) override;
+  void OnRegistryLost(std::string_view reason) override;
+  void OnRegistryStillLost() override;
+  void OnRegistryRegained() override;
+  void OnPeerLoad(std::string_view instance, const LoadReport& load) override;
+  void OnPeerLeaving(std::string_view instance) override;
+  void OnTimer(TimePoint now) override;
+
+  void WaitForSignal();
+  void Reload();
+  void UpdateOwnInstance();
+  void UpdateReady();
+  bool IsBusy() const;
+  void ExportMetrics();
+
+  boost::asio::io_context& loop;
+  const Clock& clock;
+  LoopTimerService& timers;
+  const SidecarSettings settings;
+  const SettingsReader read_settings;
+  DeploymentSource& source;
+  boost::asio::signal_set signals;
+
+  MetricsRegistry metrics;
+  InstanceDirectory directory;
+  InstancePlacer placer;
+  PeerNetwork peers;
+  LocalExecutor executor;
+  RequestOrigin origin;
+  StatusHandler status;
+  HttpListener request_listener;
+  HttpListener ready_listener;
+  HttpListener metrics_listener;
+  PeerListener peer_listener;
+
+  std::string own_instance;
+  std::uint64_t own_incarnation = 0;
+  bool stopping = false;
+  TimePoint stop_requested_at{};
+};
+
+}  // namespace masticpin
