Stop a node without cutting requests

Cause: a stopping node went on accepting executions until the end of its stop time, because load reports in its last replies ended the mark that it was leaving. Its last requests were cut.

Ruled out: a shorter or longer stop time; the node stayed busy at any.

Change: a stopping node passes requests to its instance for one second, then refuses them as not run and announces that it leaves. The mark ends with the connection. A node that was lost is tested by one request at a time.

--- a/masticpin/routing/instance_placer.cc
+++ b/masticpin/routing/instance_placer.cc
@@ -37,7 +37,7 @@
     }
     if (!this->IsUsable(candidate, now)) {
       // While every node is in back-off, the one whose back-off ends first is tried.
-      if (!candidate.draining && !candidate.node_leaving &&
+      if (!candidate.draining && candidate.leaving_until <= now &&
           (last_resort == nullptr || candidate.retry_at < last_resort->retry_at)) {
         last_resort = &candidate;
       }
@@ -70,6 +70,12 @@
   if (candidate != nullptr) {
     ++candidate->outstanding;
     ++candidate->sent_since_report;
+    if (candidate->backoff > Duration::zero()) {
+      // This request is the test. A node that is silent would otherwise hold all requests that come
+      // before its connection times out.
+      candidate->retry_at =
+          this->clock.Now() + std::max(candidate->backoff, this->settings.test_interval);
+    }
   }
 }
 
@@ -119,18 +125,27 @@
   candidate->load_at = this->clock.Now();
   candidate->load_known = true;
   candidate->sent_since_report = 0;
-  candidate->node_leaving = false;
+  candidate->backoff = Duration::zero();
   candidate->retry_at = TimePoint{};
 }
 
 void InstancePlacer::OnNodeLeaving(std::string_view name) {
   Candidate* candidate = this->Find(name);
   if (candidate != nullptr) {
-    candidate->node_leaving = true;
+    candidate->leaving_until = this->clock.Now() + this->settings.leaving_time;
     candidate->load_known = false;
   }
 }
 
+void InstancePlacer::OnNodeClosed(std::string_view name) {
+  Candidate* candidate = this->Find(name);
+  if (candidate != nullptr && candidate->leaving_until > this->clock.Now()) {
+    candidate->leaving_until = TimePoint{};
+    candidate->backoff = this->settings.first_backoff;
+    candidate->retry_at = this->clock.Now() + candidate->backoff;
+  }
+}
+
 double InstancePlacer::LeastUtilisation(std::string_view service) const {
   const auto found = this->services.find(service);
   if (found == this->services.end()) {
@@ -180,7 +195,7 @@
     candidate->load_known = false;
     candidate->outstanding = 0;
     candidate->failure_share = 0;
-    candidate->node_leaving = false;
+    candidate->leaving_until = TimePoint{};
   }
   candidate->zone = instance.zone;
   candidate->slots = std::max<std::uint32_t>(instance.slots, 1);
@@ -205,7 +220,7 @@
 }
 
 bool InstancePlacer::IsUsable(const Candidate& candidate, TimePoint now) const {
-  return !candidate.draining && !candidate.node_leaving && candidate.retry_at <= now;
+  return !candidate.draining && candidate.leaving_until <= now && candidate.retry_at <= now;
 }
 
 double InstancePlacer::Utilisation(const Candidate& candidate, TimePoint now) const {
--- a/masticpin/routing/instance_placer.h
+++ b/masticpin/routing/instance_placer.h
@@ -38,6 +38,10 @@
   /// Pause after the node beside an instance could not be reached; doubles up to the bound.
   Duration first_backoff = std::chrono::milliseconds(250);
   Duration longest_backoff = std::chrono::seconds(2);
+  /// Longest time from the announcement of a stop to its end.
+  Duration leaving_time = std::chrono::seconds(6);
+  /// An instance whose node was lost is tested by one request at a time, with this pause.
+  Duration test_interval = std::chrono::seconds(1);
   /// Share of the utilisation that is available while the instance is cold.
   double cold_capacity = 0.5;
 };
@@ -65,9 +69,13 @@
   /// Takes over a load report of the node beside the instance.
   void OnLoad(std::string_view name, const LoadReport& load);
 
-  /// The node beside the instance is about to stop: it gets no new requests until it reports load.
+  /// The node beside the instance is about to stop: it gets no new requests until the connection to
+  /// it has ended or `leaving_time` has passed.
   void OnNodeLeaving(std::string_view name);
 
+  /// The connection to the node has ended. A node that was leaving may start again soon.
+  void OnNodeClosed(std::string_view name);
+
   /// Lowest utilisation among the instances of `service` that may be used; 0 if none is known.
   double LeastUtilisation(std::string_view service) const;
 
@@ -83,7 +91,8 @@
     std::string zone;
     std::uint32_t slots = 1;
     bool draining = false;
-    bool node_leaving = false;
+    /// End of the time in which the node is believed to be stopping.
+    TimePoint leaving_until{};
     TimePoint cold_until{};
     std::uint64_t incarnation = 0;
 
--- a/sidecar/local_executor.cc
+++ b/sidecar/local_executor.cc
@@ -63,7 +63,7 @@
   this->executions.emplace(request.call(), execution);
   if (!this->instance_name.empty() && request.instance() != this->instance_name) {
     execution->Refuse(ErrorKind::kWrongIncarnation, Duration::zero());
-  } else if (this->instance_leaving) {
+  } else if (this->instance_leaving || this->draining) {
     execution->Refuse(ErrorKind::kDraining, Duration::zero());
   } else {
     execution->Start();
@@ -101,12 +101,12 @@
 }
 
 void LocalExecutor::Drain() {
-  this->admission.Drain();
+  this->draining = true;
 }
 
 LoadReport LocalExecutor::GetLoad() const {
   LoadReport load = this->admission.GetLoad();
-  if (this->instance_leaving) {
+  if (this->instance_leaving || this->draining) {
     load.limit = 0;
   }
   return load;
--- a/sidecar/local_executor.h
+++ b/sidecar/local_executor.h
@@ -41,7 +41,7 @@
   /// is draining or was removed gets no new requests.
   void SetInstance(const UpstreamInstance* instance);
 
-  /// Refuses all requests that did not start yet.
+  /// Refuses all further requests. Those that wait or run are finished.
   void Drain();
 
   LoadReport GetLoad() const;
@@ -76,6 +76,7 @@
   std::string instance_name;
   std::uint64_t incarnation = 0;
   bool instance_leaving = false;
+  bool draining = false;
   bool connection_close_seen = false;
 };
 
--- a/sidecar/peer_link.cc
+++ b/sidecar/peer_link.cc
@@ -213,6 +213,7 @@
     this->stream->Close();
     this->stream.reset();
   }
+  this->observer.OnPeerClosed(this->instance);
   // An observer may start a new request, which opens the connection again.
   std::map<std::uint64_t, ExecutionObserver*> lost;
   lost.swap(this->calls);
--- a/sidecar/peer_link_observer.h
+++ b/sidecar/peer_link_observer.h
@@ -15,6 +15,9 @@
 
   /// The node is about to stop.
   virtual void OnPeerLeaving(std::string_view instance) = 0;
+
+  /// The connection to the node has ended or could not be made.
+  virtual void OnPeerClosed(std::string_view instance) = 0;
 };
 
 }  // namespace masticpin
--- a/sidecar/sidecar_node.cc
+++ b/sidecar/sidecar_node.cc
@@ -13,7 +13,11 @@
 
 /// A stopping node stays at least this long, so that the platform notices that it is not ready (it
 /// asks once a second and believes the second answer) and callers move to other machines.
-constexpr Duration kLeastStopTime = std::chrono::milliseconds(2600);
+constexpr Duration kLeastStopTime = std::chrono::milliseconds(2200);
+
+/// A stopping node passes requests to its instance for this long. The rest of the stop time is enough
+/// for them to end, and the capacity of the instance is away for no longer than it has to be.
+constexpr Duration kExecutionTime = std::chrono::milliseconds(1000);
 
 /// The process ends this long before the end of its stop time at the latest, instead of being killed.
 constexpr Duration kStopMargin = std::chrono::milliseconds(300);
@@ -102,9 +106,6 @@
   spdlog::info("event=node_stopping name={} busy={}", this->settings.name, this->IsBusy());
   this->UpdateReady();
   this->origin.Drain();
-  // Other nodes send no new requests from here on. What they have sent is finished: the instance
-  // goes on running beside the node.
-  this->peer_listener.AnnounceLeaving();
 }
 
 void SidecarNode::WaitForSignal() {
@@ -183,6 +184,10 @@
   this->placer.OnNodeLeaving(instance);
 }
 
+void SidecarNode::OnPeerClosed(std::string_view instance) {
+  this->placer.OnNodeClosed(instance);
+}
+
 void SidecarNode::UpdateOwnInstance() {
   const UpstreamInstance* own = this->directory.FindByAddress(this->settings.upstream_address);
   this->executor.SetInstance(own);
@@ -220,6 +225,13 @@
     return;
   }
   const Duration since = now - this->stop_requested_at;
+  if (!this->executions_ended && since >= kExecutionTime) {
+    // The own instance gets no new requests from here on; it goes on running beside the node, and
+    // what it has is finished.
+    this->executions_ended = true;
+    this->executor.Drain();
+    this->peer_listener.AnnounceLeaving();
+  }
   const bool done = since >= kLeastStopTime && !this->IsBusy();
   if (done || since >= this->settings.stop_time - kStopMargin) {
     spdlog::info("event=node_stopped name={} busy={}", this->settings.name, this->IsBusy());
--- a/sidecar/sidecar_node.h
+++ b/sidecar/sidecar_node.h
@@ -57,6 +57,7 @@
   void OnRegistryRegained() override;
   void OnPeerLoad(std::string_view instance, const LoadReport& load) override;
   void OnPeerLeaving(std::string_view instance) override;
+  void OnPeerClosed(std::string_view instance) override;
   void OnTimer(TimePoint now) override;
 
   void WaitForSignal();
@@ -89,6 +90,8 @@
   std::string own_instance;
   std::uint64_t own_incarnation = 0;
   bool stopping = false;
+  /// Whether the own instance takes no more requests because the node stops.
+  bool executions_ended = false;
   TimePoint stop_requested_at{};
 };
 
