Adapt the admitted share at entry to the chains that fail

Cause: the throttle derived the refused share from the ratio of served to all requests. After a shortage of a deep service the few admitted requests all succeed, but the ratio stays low, so that the share grew by a tenth in two seconds only. Separately, servers of the deep service work 30% slower when nearly all their slots are taken, and the node sent them an eighth more than their slots.

Change: the admitted share falls with the share of refused chains among requests admitted since the last decrease, and grows by an eighth each quarter of a second without them. An instance gets 0.94 of its slots.

--- a/masticpin/admission/entry_throttle.cc
+++ b/masticpin/admission/entry_throttle.cc
@@ -1,44 +1,45 @@
 #include "masticpin/admission/entry_throttle.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace masticpin {
 
 bool EntryThrottle::Admit(std::uint16_t rank) {
-  this->Decay();
+  this->Update();
   constexpr double kRanks = 65536;
-  if (rank >= this->RefusalShare() * kRanks) {
-    return true;
-  }
-  this->requests += 1;
-  return false;
+  return rank >= this->RefusalShare() * kRanks;
 }
 
-void EntryThrottle::OnEnd(bool refused) {
-  this->Decay();
-  this->requests += 1;
-  if (!refused) {
-    this->served += 1;
+void EntryThrottle::OnEnd(TimePoint admitted_at, bool refused) {
+  if (admitted_at < this->last_decrease) {
+    return;
   }
-}
-
-double EntryThrottle::RefusalShare() const {
-  if (this->requests < this->settings.least_requests) {
-    return 0;
+  ++this->ended;
+  if (refused) {
+    ++this->refused_chains;
   }
-  const double excess = this->requests - this->settings.probe_ratio * this->served;
-  return std::clamp(excess / (this->requests + 1), 0.0, this->settings.largest_refusal);
+  this->Update();
 }
 
-void EntryThrottle::Decay() {
+void EntryThrottle::Update() {
   const TimePoint now = this->clock.Now();
-  const std::chrono::duration<double> elapsed = now - this->decayed_at;
-  const std::chrono::duration<double> window = this->settings.window;
-  const double factor = std::exp(-elapsed.count() / window.count());
-  this->requests *= factor;
-  this->served *= factor;
-  this->decayed_at = now;
+  const Duration age = now - this->interval_start;
+  if (age < this->settings.interval ||
+      (this->ended < this->settings.least_requests && age < this->settings.longest_interval)) {
+    return;
+  }
+  const double failed =
+      this->ended == 0 ? 0 : this->refused_chains / static_cast<double>(this->ended);
+  if (failed > this->settings.tolerance) {
+    this->share = std::max(this->share * (1 - this->settings.decrease * failed),
+                           this->settings.least_share);
+    this->last_decrease = now;
+  } else {
+    this->share = std::min(this->share * this->settings.growth, 1.0);
+  }
+  this->interval_start = now;
+  this->ended = 0;
+  this->refused_chains = 0;
 }
 
 }  // namespace masticpin
--- a/masticpin/admission/entry_throttle.h
+++ b/masticpin/admission/entry_throttle.h
@@ -8,23 +8,28 @@
 namespace masticpin {
 
 struct EntryThrottleSettings {
-  /// Time constant of the moving sums. Short against the 11 s wave of the daily traffic, long enough
-  /// for some 20 requests of one route at one node.
-  Duration window = std::chrono::seconds(2);
-  /// Requests admitted for each one that the call chain served. The excess keeps finding out whether
-  /// there is room again; it is what a steady overload wastes.
-  double probe_ratio = 1.1;
-  /// Requests in the window below which nothing is refused: too few say nothing.
-  double least_requests = 4;
-  /// Largest share that is refused, so that a route without any success keeps testing.
-  double largest_refusal = 0.95;
+  /// Shortest time between two changes of the admitted share.
+  Duration interval = std::chrono::milliseconds(250);
+  /// Requests that have to end in an interval before the share is judged; with fewer, the interval
+  /// goes on, up to `longest_interval`.
+  std::uint32_t least_requests = 8;
+  Duration longest_interval = std::chrono::milliseconds(1000);
+  /// Share of refused chains that counts as the normal noise of a full service. What a steady
+  /// overload wastes is of this order.
+  double tolerance = 0.05;
+  /// Part of the refused share by which the admitted share falls at once.
+  double decrease = 0.8;
+  /// Growth of the admitted share in one interval without more refusals than `tolerance`.
+  double growth = 1.12;
+  /// Smallest admitted share, so that a route without any success keeps testing.
+  double least_share = 0.03;
 };
 
 /// Refuses requests of one route where they arrive, when services deeper in their call chain refuse
 /// the calls that they cause. It answers the load in which a deep service is short: half of the
 /// chains that start would otherwise fail at their last call, after all earlier work was done for
-/// nothing. The share to refuse follows from the share of admitted requests that failed that way.
-/// Not thread-safe.
+/// nothing. The admitted share falls with the share of chains that fail that way, and grows while
+/// they succeed. Not thread-safe.
 class EntryThrottle {
  public:
   using Settings = EntryThrottleSettings;
@@ -38,21 +43,26 @@
   /// deep service would refuse.
   bool Admit(std::uint16_t rank);
 
-  /// An admitted request ended; `refused` says whether it was refused for load anywhere. Requests
-  /// count at their end, so that those in progress do not look like failures while load rises.
-  void OnEnd(bool refused);
+  /// A request that was admitted at `admitted_at` has ended; `refused` says whether it, or a call
+  /// that it caused, was refused for load.
+  void OnEnd(TimePoint admitted_at, bool refused);
 
-  /// Share of the requests that is refused now; 0 to `largest_refusal`.
-  double RefusalShare() const;
+  /// Share of the requests that is refused now; 0 to 1 - `least_share`.
+  double RefusalShare() const { return 1 - this->share; }
 
  private:
-  void Decay();
+  /// Changes the share if the present interval has ended.
+  void Update();
 
   const Clock& clock;
   const Settings settings;
-  double requests = 0;
-  double served = 0;
-  TimePoint decayed_at{};
+  /// Share of the requests that is admitted.
+  double share = 1;
+  TimePoint interval_start{};
+  /// Requests admitted before this time say nothing about the present share.
+  TimePoint last_decrease{};
+  std::uint32_t ended = 0;
+  std::uint32_t refused_chains = 0;
 };
 
 }  // namespace masticpin
--- a/sidecar/local_executor.cc
+++ b/sidecar/local_executor.cc
@@ -9,12 +9,13 @@
 namespace masticpin {
 namespace {
 
-/// Requests that are sent to the instance above its slots: one eighth, at least two. They wait in the
-/// instance's own queue, so that a slot that becomes free is taken without a round trip to the node.
+/// Requests that the instance has at a time, as a share of its slots. Servers may slow down when nearly
+/// all their slots are taken; the work that one more request gets done is then less than what all
+/// others lose.
+constexpr double kUsedShareOfSlots = 0.94;
+
 std::uint32_t CeilingFor(std::uint32_t slots) {
-  constexpr std::uint32_t kLeastExtra = 2;
-  constexpr std::uint32_t kExtraPart = 8;
-  return slots + std::max(kLeastExtra, slots / kExtraPart);
+  return std::max<std::uint32_t>(static_cast<std::uint32_t>(slots * kUsedShareOfSlots), 1);
 }
 
 /// Ceiling until the registry has said how many slots the instance has.
--- a/sidecar/origin_request.cc
+++ b/sidecar/origin_request.cc
@@ -373,7 +373,8 @@
   this->finished = true;
   this->origin.timers.Cancel(*this);
   if (this->counted_by_throttle) {
-    this->origin.ThrottleFor(*this->route).OnEnd(this->refused_for_load && reply.status >= 500);
+    this->origin.ThrottleFor(*this->route)
+        .OnEnd(this->exchange->ArrivedAt(), this->refused_for_load && reply.status >= 500);
   }
   this->origin.latency.Record(this->origin.clock.Now() - this->exchange->ArrivedAt());
   this->origin.metrics
@@ -396,7 +397,7 @@
     this->EndAttempt(PlacementOutcome::kNone);
   }
   if (this->counted_by_throttle) {
-    this->origin.ThrottleFor(*this->route).OnEnd(this->refused_for_load);
+    this->origin.ThrottleFor(*this->route).OnEnd(this->exchange->ArrivedAt(), this->refused_for_load);
   }
   spdlog::info("event=caller_gone id={} route={} instance={}", this->id, this->route->name,
                this->instance);
--- a/sidecar/sidecar_node.cc
+++ b/sidecar/sidecar_node.cc
@@ -11,6 +11,9 @@
 /// Time between two looks at the own state: the end of a stop, and signs that the instance leaves.
 constexpr Duration kTick = std::chrono::milliseconds(250);
 
+/// Two seconds between two lines about the load, the resolution at which a surge is explained.
+constexpr std::uint32_t kTicksPerLoadLine = 8;
+
 /// A stopping node stays at least this long, so that the platform notices that it is not ready (it
 /// asks once a second and believes the second answer) and callers move to other machines.
 constexpr Duration kLeastStopTime = std::chrono::milliseconds(2200);
@@ -218,6 +221,9 @@
 
 void SidecarNode::OnTimer(TimePoint now) {
   this->timers.Schedule(*this, now + kTick);
+  if (++this->ticks % kTicksPerLoadLine == 0) {
+    this->LogLoad();
+  }
   if (this->executor.TakeConnectionCloseSeen()) {
     this->source.RefreshOwnInstance();
   }
@@ -239,6 +245,22 @@
   }
 }
 
+void SidecarNode::LogLoad() {
+  const LocalExecutorStatistics& done = this->executor.Statistics();
+  if (done.offered == this->logged.offered) {
+    return;
+  }
+  const LoadReport load = this->executor.GetLoad();
+  spdlog::info(
+      "event=load limit={} in_flight={} queued={} threshold={} offered={} started={} refused={} "
+      "shed={} broken={}",
+      load.limit, load.in_flight, load.queued, load.threshold,
+      done.offered - this->logged.offered, done.started - this->logged.started,
+      done.refused - this->logged.refused, done.shed - this->logged.shed,
+      done.broken - this->logged.broken);
+  this->logged = done;
+}
+
 void SidecarNode::ExportMetrics() {
   const LocalExecutorStatistics& done = this->executor.Statistics();
   const LoadReport load = this->executor.GetLoad();
--- a/sidecar/sidecar_node.h
+++ b/sidecar/sidecar_node.h
@@ -66,6 +66,8 @@
   void UpdateReady();
   bool IsBusy() const;
   void ExportMetrics();
+  /// Logs the load of the own instance and what it had since the last line.
+  void LogLoad();
 
   boost::asio::io_context& loop;
   const Clock& clock;
@@ -93,6 +95,8 @@
   /// Whether the own instance takes no more requests because the node stops.
   bool executions_ended = false;
   TimePoint stop_requested_at{};
+  std::uint32_t ticks = 0;
+  LocalExecutorStatistics logged;
 };
 
 }  // namespace masticpin
