Serve at once after a restart of all machines, and send less between zones

Cause: after a power loss the registry lists the old instances for some seconds. Requests named the old instance, the new one answered 421, and connections to machines that were just starting hung for 700 ms. In a period in which all servers of a deep service refuse half of their requests, repeats were spent on whatever came first.

Ruled out: waiting for the registry to list the new instances (4.5 s).

Change: a node learns the name of its own instance from a 421 response and offers the request again; other nodes address the service of a machine, not the name. Connections between nodes time out after 200 ms. Repeats are kept for the two most urgent kinds and their calls; an instance that refused may be asked again. Ids and names that both ends know are left out of the frames. A stopping node passes requests on for 1.8 s.

--- a/masticpin/attempts/retry_allowance.cc
+++ b/masticpin/attempts/retry_allowance.cc
@@ -11,7 +11,7 @@
   ++this->CurrentSlot().requests;
 }
 
-bool RetryAllowance::TryRepeat(std::uint32_t cost, std::size_t nodes) {
+bool RetryAllowance::TryRepeat(std::uint32_t cost, std::size_t nodes, bool important) {
   Slot& current = this->CurrentSlot();
   std::uint64_t requests = 0;
   std::uint64_t repeats = 0;
@@ -24,7 +24,9 @@
   const double shared =
       this->settings.ratio * static_cast<double>(requests) +
       this->settings.slack / static_cast<double>(std::max<std::size_t>(nodes, 1));
-  if (static_cast<double>(repeats + cost) > this->settings.used_part * shared) {
+  const double part =
+      this->settings.used_part * (important ? 1 : this->settings.less_important_part);
+  if (static_cast<double>(repeats + cost) > part * shared) {
     return false;
   }
   current.repeats += cost;
--- a/masticpin/attempts/retry_allowance.h
+++ b/masticpin/attempts/retry_allowance.h
@@ -16,7 +16,10 @@
   Duration window = std::chrono::seconds(10);
   /// Part of the shared budget that is handed out. The rest covers nodes that disagree about the
   /// number of nodes, and windows that end between two slots.
-  double used_part = 0.5;
+  double used_part = 0.75;
+  /// Part of that which less important requests may use up. The rest stays for the most important
+  /// ones, which come at any time and would find nothing left.
+  double less_important_part = 0.4;
 };
 
 /// One node's part of a retry budget that all nodes share without a counter: its own requests for
@@ -34,7 +37,10 @@
 
   /// Counts `cost` repeats and returns true, or returns false if the node's part does not cover
   /// them. `nodes` is the number of nodes that share the budget.
-  bool TryRepeat(std::uint32_t cost, std::size_t nodes);
+  bool TryRepeat(std::uint32_t cost, std::size_t nodes, bool important);
+
+  /// Counts one repeat that was not asked for: a call that a repeated request causes.
+  void OnForcedRepeat() { ++this->CurrentSlot().repeats; }
 
  private:
   static constexpr std::size_t kSlots = 10;
--- a/masticpin/routing/instance_directory.cc
+++ b/masticpin/routing/instance_directory.cc
@@ -1,5 +1,8 @@
 #include "masticpin/routing/instance_directory.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace masticpin {
 namespace {
 
@@ -9,7 +12,17 @@
 
 }  // namespace
 
+InstanceDirectory::InstanceDirectory(SocketAddress own_address,
+                                     std::string own_service,
+                                     Settings settings)
+    : own_address(std::move(own_address)),
+      own_service(std::move(own_service)),
+      settings(settings) {}
+
 void InstanceDirectory::Apply(const UpstreamInstance& instance) {
+  if (instance.address == this->own_address && instance.service != this->own_service) {
+    return;
+  }
   const auto removal = this->removed.find(instance.name);
   if (removal != this->removed.end()) {
     if (removal->second >= instance.revision) {
@@ -17,10 +30,14 @@
     }
     this->removed.erase(removal);
   }
-  UpstreamInstance& known_instance = this->instances[instance.name];
-  if (known_instance.revision >= instance.revision) {
+  const auto found = this->instances.find(instance.name);
+  if (found != this->instances.end() && found->second.revision >= instance.revision) {
+    return;
+  }
+  if (!this->TakeAddress(instance)) {
     return;
   }
+  UpstreamInstance& known_instance = this->instances[instance.name];
   known_instance = instance;
   for (InstanceDirectoryObserver* observer : this->observers) {
     observer->OnInstance(known_instance);
@@ -94,14 +111,25 @@
 }
 
 const UpstreamInstance* InstanceDirectory::FindByAddress(const SocketAddress& address) const {
-  const UpstreamInstance* latest = nullptr;
   for (const auto& [name, instance] : this->instances) {
-    if (instance.address == address &&
-        (latest == nullptr || latest->incarnation < instance.incarnation)) {
-      latest = &instance;
+    if (instance.address == address) {
+      return &instance;
     }
   }
-  return latest;
+  return nullptr;
+}
+
+bool InstanceDirectory::TakeAddress(const UpstreamInstance& instance) {
+  const UpstreamInstance* owner = this->FindByAddress(instance.address);
+  if (owner == nullptr || owner->name == instance.name) {
+    return true;
+  }
+  if (owner->listed_revision > instance.listed_revision) {
+    return false;
+  }
+  const std::string owner_name = owner->name;
+  this->Remove(owner_name, std::max(owner->revision, instance.listed_revision));
+  return true;
 }
 
 }  // namespace masticpin
--- a/masticpin/routing/instance_directory.h
+++ b/masticpin/routing/instance_directory.h
@@ -25,14 +25,17 @@
  public:
   using Settings = InstanceDirectorySettings;
 
-  explicit InstanceDirectory(Settings settings = {}) : settings(settings) {}
+  /// `own_address` and `own_service` are those of the instance beside this node. An entry that names
+  /// another service at this address is left from an earlier owner of the address and is ignored.
+  InstanceDirectory(SocketAddress own_address, std::string own_service, Settings settings = {});
   InstanceDirectory(const InstanceDirectory&) = delete;
   InstanceDirectory& operator=(const InstanceDirectory&) = delete;
 
   /// The observer must outlive the directory.
   void AddObserver(InstanceDirectoryObserver& observer) { this->observers.push_back(&observer); }
 
-  /// Takes over one entry unless a newer one, or a newer removal, is known.
+  /// Takes over one entry unless a newer one, or a newer removal, is known. An instance that was
+  /// listed later takes the address of an earlier one, which is gone then.
   void Apply(const UpstreamInstance& instance);
 
   /// The registry removed the entry at `revision`.
@@ -51,8 +54,7 @@
   /// Returns the instance of this name, or nullptr.
   const UpstreamInstance* Find(std::string_view name) const;
 
-  /// Returns the instance that listens at `address`, or nullptr. Of several with one address, which
-  /// happens while an address changes its owner, the latest start counts.
+  /// Returns the instance that listens at `address`, or nullptr.
   const UpstreamInstance* FindByAddress(const SocketAddress& address) const;
 
   /// Whether a list was received.
@@ -68,9 +70,15 @@
     }
   };
 
+  /// Removes the instances whose address `instance` has taken over. Returns false if its own address
+  /// belongs to one that was listed later.
+  bool TakeAddress(const UpstreamInstance& instance);
+
   /// Whether entries that are missing may come back, because the registry was away.
   bool AreMissingHeldBack(TimePoint now);
 
+  const SocketAddress own_address;
+  const std::string own_service;
   const Settings settings;
   std::unordered_map<std::string, UpstreamInstance, StringHash, std::equal_to<>> instances;
   /// Revision of the removal by name.
--- a/masticpin/routing/instance_placer.h
+++ b/masticpin/routing/instance_placer.h
@@ -36,12 +36,12 @@
   /// recovery is noticed.
   Duration failure_memory = std::chrono::seconds(3);
   /// Pause after the node beside an instance could not be reached; doubles up to the bound.
-  Duration first_backoff = std::chrono::milliseconds(250);
+  Duration first_backoff = std::chrono::milliseconds(100);
   Duration longest_backoff = std::chrono::seconds(2);
   /// Longest time from the announcement of a stop to its end.
   Duration leaving_time = std::chrono::seconds(6);
   /// An instance whose node was lost is tested by one request at a time, with this pause.
-  Duration test_interval = std::chrono::seconds(1);
+  Duration test_interval = std::chrono::milliseconds(300);
   /// Share of the utilisation that is available while the instance is cold.
   double cold_capacity = 0.5;
 };
--- a/masticpin/routing/upstream_instance.h
+++ b/masticpin/routing/upstream_instance.h
@@ -30,6 +30,9 @@
   InstanceState state = InstanceState::kReady;
   /// How much longer it stays slow after its start.
   Duration cold_remaining{};
+  /// Revision of the registry at which the instance was first listed. Of two instances with one
+  /// address, the one that was listed later is there; wall clocks may disagree about that.
+  std::uint64_t listed_revision = 0;
   /// Revision of the registry at which this entry was written.
   std::uint64_t revision = 0;
 };
--- a/masticpin/settings/sidecar_settings.h
+++ b/masticpin/settings/sidecar_settings.h
@@ -33,6 +33,8 @@
   std::size_t memory_mb = 256;
   /// Time from a request to stop to the end of the process.
   Duration stop_time = std::chrono::seconds(6);
+  /// Time within which a leaving instance must get no more requests.
+  Duration leave_notice_time = std::chrono::seconds(2);
   /// The retry budget that all nodes share.
   RetryAllowanceSettings retries;
 
--- a/masticpin/settings/sidecar_settings_parser.cc
+++ b/masticpin/settings/sidecar_settings_parser.cc
@@ -60,6 +60,15 @@
   return true;
 }
 
+bool ApplyLeaveNotice(SidecarSettings& settings, std::string_view value) {
+  std::uint32_t milliseconds = 0;
+  if (!ReadNumber<std::uint32_t>(value, 500, milliseconds)) {
+    return false;
+  }
+  settings.leave_notice_time = std::chrono::milliseconds(milliseconds);
+  return true;
+}
+
 bool ApplyRetryRatio(SidecarSettings& settings, std::string_view value) {
   return ReadNumber(value, 0.0, settings.retries.ratio) && settings.retries.ratio <= 1;
 }
@@ -94,7 +103,7 @@
     "0.0.0.0, :: and port 0";
 
 // All keys of the settings file.
-const std::array<SettingsKey, 16> kKeys = {{
+const std::array<SettingsKey, 17> kKeys = {{
     {"node", "name", std::nullopt, kAllowedNames, "Name of the machine, for logs.",
      &ApplyName<&SidecarSettings::name>},
     {"node", "service", std::nullopt, kAllowedNames, "Service of the upstream beside the node.",
@@ -123,6 +132,8 @@
      &ApplyMemory},
     {"limits", "stop_seconds", "6", "a number from 1 to 3600",
      "Time from SIGTERM to the latest end of the process.", &ApplyStopTime},
+    {"limits", "leave_notice_ms", "2000", "a whole number, at least 500",
+     "Time within which a leaving instance must get no more requests.", &ApplyLeaveNotice},
     {"retries", "ratio", "0.2", "a number from 0 to 1",
      "Repeats that all nodes together may send to a service, as a share of the requests for it.",
      &ApplyRetryRatio},
--- a/node/sidecar_main.cc
+++ b/node/sidecar_main.cc
@@ -69,7 +69,8 @@
   const masticpin::SystemClock clock;
   masticpin::SystemRandom random;
   masticpin::LoopTimerService timers(loop, clock);
-  masticpin::platform::StoreSource source(loop, clock, timers, random, settings->registry_address);
+  masticpin::platform::StoreSource source(loop, clock, timers, random, settings->registry_address,
+                                         settings->leave_notice_time);
   masticpin::SidecarNode node(
       loop, clock, timers, random, *settings, [] { return ReadSettings(FLAGS_settings); }, source);
   const std::string problem = node.Start();
--- a/sidecar/http_dialect.h
+++ b/sidecar/http_dialect.h
@@ -13,6 +13,8 @@
   std::string remaining_ms;
   /// Name of the only instance that may run the request; another one answers 421.
   std::string expected_instance;
+  /// Name of the instance that answers; in a 421 response the one that is there instead.
+  std::string instance_name;
   /// Service on whose machine the request began.
   std::string caller_service;
   /// Marks a response of a server that did not run the request.
--- a/sidecar/local_execution.cc
+++ b/sidecar/local_execution.cc
@@ -118,7 +118,10 @@
   message.append(" HTTP/1.1\r\n").append(this->request.header_lines());
   message.append(dialect.remaining_ms).append(": ");
   message.append(std::to_string(std::max<std::int64_t>(left.count(), 1))).append("\r\n");
-  message.append(dialect.expected_instance).append(": ").append(this->request.instance());
+  message.append(dialect.request_id).append(": ").append(this->request.request_id());
+  message.append("\r\n").append(dialect.caller_service).append(": ");
+  message.append(this->request.caller_service()).append("\r\n");
+  message.append(dialect.expected_instance).append(": ").append(this->executor.instance_name);
   message.append("\r\n");
   if (HasBody(this->request)) {
     message.append("Content-Length: ").append(std::to_string(this->request.body().size()));
@@ -137,9 +140,15 @@
     this->executor.connection_close_seen = true;
   }
 
-  // The server did not run the request.
+  // The server did not run the request. After a restart it has another name than the registry says.
   if (response.status == 421) {
+    this->executor.OnInstanceNameSeen(std::string(response.fields.Find(dialect.instance_name)));
     this->EndRun(Completion::kFailed);
+    if (!this->misdirected && this->observer != nullptr) {
+      this->misdirected = true;
+      this->Start();
+      return;
+    }
     this->ReplyError(ErrorKind::kWrongIncarnation, false, Duration::zero());
     return;
   }
@@ -166,7 +175,7 @@
   wire::ExecutionReply reply;
   reply.set_status(static_cast<std::uint32_t>(response.status));
   reply.set_reason(response.reason);
-  response.fields.AppendEndToEndLines({}, *reply.mutable_header_lines());
+  response.fields.AppendEndToEndLines({dialect.request_id}, *reply.mutable_header_lines());
   reply.set_body(std::move(response.body));
   reply.set_reached_instance(true);
   this->Finish(reply);
@@ -176,7 +185,7 @@
   const Ref<LocalExecution> keep(this);
   const bool reached = kind != ErrorKind::kUpstreamUnreachable;
   spdlog::warn("event=upstream_call_failed id={} instance={} error={} reason=\"{}\" ran_us={}",
-               this->request.request_id(), this->request.instance(), GetAnswer(kind).name, reason,
+               this->request.request_id(), this->executor.instance_name, GetAnswer(kind).name, reason,
                std::chrono::duration_cast<std::chrono::microseconds>(this->executor.clock.Now() -
                                                                      this->started_at)
                    .count());
--- a/sidecar/local_execution.h
+++ b/sidecar/local_execution.h
@@ -62,6 +62,8 @@
   TimePoint arrived_at{};
   TimePoint started_at{};
   bool is_running = false;
+  /// The request was answered 421 once and offered again.
+  bool misdirected = false;
   bool ended = false;
 };
 
--- a/sidecar/local_executor.cc
+++ b/sidecar/local_executor.cc
@@ -62,7 +62,7 @@
   ++this->statistics.offered;
   const Ref<LocalExecution> execution(new LocalExecution(*this, request, observer));
   this->executions.emplace(request.call(), execution);
-  if (!this->instance_name.empty() && request.instance() != this->instance_name) {
+  if (this->instance_name.empty()) {
     execution->Refuse(ErrorKind::kWrongIncarnation, Duration::zero());
   } else if (this->instance_leaving || this->draining) {
     execution->Refuse(ErrorKind::kDraining, Duration::zero());
@@ -80,6 +80,12 @@
 }
 
 void LocalExecutor::SetInstance(const UpstreamInstance* instance) {
+  // What the registry says of the predecessor does not concern the instance that is there.
+  if (this->name_from_response &&
+      (instance == nullptr || instance->name != this->instance_name)) {
+    return;
+  }
+  this->name_from_response = false;
   const bool leaving = instance == nullptr ? !this->instance_name.empty()
                                            : instance->state == InstanceState::kDraining;
   if (leaving != this->instance_leaving) {
@@ -101,6 +107,17 @@
   this->admission.SetCeiling(CeilingFor(instance->slots));
 }
 
+void LocalExecutor::OnInstanceNameSeen(const std::string& name) {
+  if (name.empty() || name == this->instance_name) {
+    return;
+  }
+  spdlog::info("event=own_instance_replaced previous={} instance={}", this->instance_name, name);
+  this->client.CloseIdle();
+  this->instance_name = name;
+  this->name_from_response = true;
+  this->instance_leaving = false;
+}
+
 void LocalExecutor::Drain() {
   this->draining = true;
 }
--- a/sidecar/local_executor.h
+++ b/sidecar/local_executor.h
@@ -61,6 +61,9 @@
  private:
   friend class LocalExecution;
 
+  /// A response named the instance that is really there. The registry lags behind a restart.
+  void OnInstanceNameSeen(const std::string& name);
+
   void OnEnded(LocalExecution& execution);
 
   const Clock& clock;
@@ -72,8 +75,10 @@
   std::unordered_map<std::uint64_t, Ref<LocalExecution>> executions;
   LocalExecutorStatistics statistics;
 
-  /// Name of the own instance; empty until the registry has listed it.
+  /// Name of the own instance; empty until the registry or a response has told it.
   std::string instance_name;
+  /// Whether a response told the name, and the registry has not listed it yet.
+  bool name_from_response = false;
   std::uint64_t incarnation = 0;
   bool instance_leaving = false;
   bool draining = false;
--- a/sidecar/origin_request.cc
+++ b/sidecar/origin_request.cc
@@ -14,9 +14,17 @@
 namespace masticpin {
 namespace {
 
-/// Sends of one request, refusals by other nodes included. Each refusal tells this node the load of
-/// another instance, so that a third one only fails when the whole service is full.
-constexpr std::uint32_t kMaxSends = 3;
+/// Sends of one request, refusals included. An instance that refuses half of its requests without
+/// being full lets five in six of them through within three sends, and all but 3% within five.
+constexpr std::uint32_t kMaxSends = 5;
+
+/// Refusals by nodes whose instances are full after which a request is refused. Each tells this node
+/// the load of another instance, so that a third one only fails when the whole service is full.
+constexpr std::uint32_t kMaxOverloadRefusals = 3;
+
+/// Requests of this importance, those of the two most urgent kinds and their calls, may use all of
+/// the retry budget.
+constexpr std::uint8_t kLeastImportanceWithAllRepeats = 6;
 
 /// With less time than this left, another attempt cannot reach its end.
 constexpr Duration kLeastTimeForRetry = std::chrono::milliseconds(15);
@@ -69,7 +77,11 @@
   }
   this->ReadContext();
   this->DrawService();
-  this->origin.AllowanceFor(this->service).OnRequest();
+  RetryAllowance& allowance = this->origin.AllowanceFor(this->service);
+  allowance.OnRequest();
+  if (this->repeated) {
+    allowance.OnForcedRepeat();
+  }
   if (this->origin.body_bytes_in_progress > this->origin.settings.max_body_bytes_in_progress) {
     this->Refuse(ErrorKind::kOverloaded, kLongestRetryAfter, "bodies in progress");
     return;
@@ -162,26 +174,22 @@
   }
   // The attempt may end, and another one begin, within this call.
   const Ref<OriginRequest> keep(this);
-  const wire::ExecutionRequest request = this->BuildRequest(this->call, this->instance);
+  const wire::ExecutionRequest request = this->BuildRequest(this->call);
   this->target->Execute(request, *this);
 }
 
-wire::ExecutionRequest OriginRequest::BuildRequest(std::uint64_t call_id,
-                                                   const std::string& instance_name) const {
+wire::ExecutionRequest OriginRequest::BuildRequest(std::uint64_t call_id) const {
   const HttpRequest& request = this->exchange->Request();
   const HttpDialect& dialect = this->origin.dialect;
   wire::ExecutionRequest message;
   message.set_call(call_id);
-  message.set_instance(instance_name);
-  message.set_service(this->service);
+  message.set_caller_service(this->origin.settings.service);
   message.set_request_id(this->id);
   message.set_method(request.method);
   message.set_target(request.target);
-  std::string& lines = *message.mutable_header_lines();
-  request.fields.AppendEndToEndLines(
-      {dialect.remaining_ms, dialect.expected_instance, dialect.caller_service}, lines);
-  lines.append(dialect.caller_service).append(": ").append(this->origin.settings.service);
-  lines.append("\r\n");
+  request.fields.AppendEndToEndLines({dialect.request_id, dialect.remaining_ms,
+                                      dialect.expected_instance, dialect.caller_service},
+                                     *message.mutable_header_lines());
   message.set_body(request.body);
   message.set_remaining_us(static_cast<std::uint64_t>(
       std::max<std::int64_t>(std::chrono::duration_cast<std::chrono::microseconds>(
@@ -259,18 +267,26 @@
   if (this->sends >= kMaxSends || this->TimeLeft() < kLeastTimeForRetry) {
     return false;
   }
+  if (kind == ErrorKind::kOverloaded && ++this->overload_refusals >= kMaxOverloadRefusals) {
+    return false;
+  }
   const bool not_run = IsNotRun(kind);
   if (!not_run && !this->route->idempotent) {
     return false;
   }
   if (!not_run || kind == ErrorKind::kUpstreamShed) {
     // The request reached an instance, so that another send counts against the shared budget.
-    if (this->reached >= this->route->attempts ||
-        !this->origin.AllowanceFor(this->service)
-             .TryRepeat(1 + this->inner_calls, this->origin.directory.Size())) {
+    if (!this->origin.AllowanceFor(this->service)
+             .TryRepeat(1 + this->inner_calls, this->origin.directory.Size(),
+                        this->priority.importance >= kLeastImportanceWithAllRepeats)) {
       return false;
     }
     this->repeated = true;
+    if (this->tried.size() + 1 >= this->route->attempts) {
+      // No further instance may get the request. One that refused it may take it now; one that
+      // failed is likely to fail again.
+      return kind == ErrorKind::kUpstreamShed;
+    }
   } else if (!GetAnswer(kind).retry_elsewhere) {
     return false;
   }
@@ -308,7 +324,9 @@
             .count());
   }
   this->ReportToParent(failed);
-  this->Finish(CallerReply{static_cast<int>(reply.status()), reply.reason(), reply.header_lines(),
+  std::string lines = this->origin.dialect.request_id + ": " + this->id + "\r\n";
+  lines.append(reply.header_lines());
+  this->Finish(CallerReply{static_cast<int>(reply.status()), reply.reason(), std::move(lines),
                            reply.body()});
 }
 
--- a/sidecar/origin_request.h
+++ b/sidecar/origin_request.h
@@ -44,7 +44,7 @@
   void DrawService();
   /// Sends the request to an instance, or answers it if there is none.
   void Send();
-  wire::ExecutionRequest BuildRequest(std::uint64_t call, const std::string& instance) const;
+  wire::ExecutionRequest BuildRequest(std::uint64_t call_id) const;
   /// Handles the end of an attempt without a response that can be passed on.
   void OnAttemptFailed(ErrorKind kind, Duration retry_after, std::string_view reason);
   /// Whether another attempt is allowed after `kind`; counts it.
@@ -87,6 +87,7 @@
   /// Instances that the request reached, and sends of all kinds.
   std::uint32_t reached = 0;
   std::uint32_t sends = 0;
+  std::uint32_t overload_refusals = 0;
   /// Calls that the last attempt caused; another attempt is likely to cause as many.
   std::uint32_t inner_calls = 0;
 };
--- a/sidecar/peer_link.cc
+++ b/sidecar/peer_link.cc
@@ -10,8 +10,9 @@
 namespace masticpin {
 namespace {
 
-/// Zones are milliseconds apart; the platform's callers allow a second for a connection.
-constexpr Duration kConnectTimeout = std::chrono::milliseconds(700);
+/// Zones are milliseconds apart. The opening packet to a machine that is just starting is lost and
+/// sent again by the kernel only after a second, so that a new connection is the faster way.
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(200);
 
 /// Silence of a node with requests after which it is asked for a sign of life, and the further
 /// silence after which it is given up. A node whose share of the processor is used up pauses for up
@@ -30,12 +31,16 @@
                    TimerService& timers,
                    PeerLinkObserver& observer,
                    std::string instance,
+                   std::string service,
+                   std::string own_service,
                    SocketAddress address)
     : loop(loop),
       clock(clock),
       timers(timers),
       observer(observer),
       instance(std::move(instance)),
+      service(std::move(service)),
+      own_service(std::move(own_service)),
       address(std::move(address)) {}
 
 PeerLink::~PeerLink() {
@@ -48,6 +53,7 @@
 void PeerLink::Execute(const wire::ExecutionRequest& request, ExecutionObserver& call_observer) {
   wire::PeerFrame frame;
   *frame.mutable_request() = request;
+  frame.mutable_request()->clear_caller_service();
   const TimePoint now = this->clock.Now();
   if (this->calls.empty()) {
     // Silence counts from the first request on.
@@ -119,7 +125,8 @@
   this->timers.Schedule(*this, this->last_heard + kSilenceBeforeQuestion);
   wire::PeerFrame hello;
   hello.mutable_hello()->set_protocol(kPeerProtocol);
-  hello.mutable_hello()->set_instance(this->instance);
+  hello.mutable_hello()->set_service(this->service);
+  hello.mutable_hello()->set_caller_service(this->own_service);
   this->stream->Send(hello);
   for (const wire::PeerFrame& frame : this->waiting) {
     this->stream->Send(frame);
--- a/sidecar/peer_link.h
+++ b/sidecar/peer_link.h
@@ -25,12 +25,14 @@
                  private FrameObserver,
                  private TimerSubscriber {
  public:
-  /// `instance` is the name of the instance beside the other node, `own_instance` of the own one.
+  /// `instance` and `service` are those beside the other node; `own_service` is that of this one.
   PeerLink(boost::asio::io_context& loop,
            const Clock& clock,
            TimerService& timers,
            PeerLinkObserver& observer,
            std::string instance,
+           std::string service,
+           std::string own_service,
            SocketAddress address);
   ~PeerLink() override;
 
@@ -59,6 +61,8 @@
   TimerService& timers;
   PeerLinkObserver& observer;
   const std::string instance;
+  const std::string service;
+  const std::string own_service;
   const SocketAddress address;
 
   State state = State::kClosed;
--- a/sidecar/peer_listener.cc
+++ b/sidecar/peer_listener.cc
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <utility>
 
 #include "sidecar/tcp_address.h"
 
@@ -19,9 +20,14 @@
 
 PeerListener::PeerListener(boost::asio::io_context& loop,
                            LocalExecutor& executor,
+                           std::string own_service,
                            const Clock& clock,
                            TimerService& timers)
-    : acceptor(loop), executor(executor), clock(clock), timers(timers) {}
+    : acceptor(loop),
+      executor(executor),
+      own_service(std::move(own_service)),
+      clock(clock),
+      timers(timers) {}
 
 PeerListener::~PeerListener() {
   this->timers.Cancel(*this);
@@ -67,7 +73,7 @@
     }
     EnableFastLossDetection(socket);
     const Ref<PeerSession> session(
-        new PeerSession(std::move(socket), this->executor, this->next_call));
+        new PeerSession(std::move(socket), this->executor, this->own_service, this->next_call));
     this->sessions.push_back(*session);
     session->Start();
     if (this->leaving) {
--- a/sidecar/peer_listener.h
+++ b/sidecar/peer_listener.h
@@ -19,6 +19,7 @@
   /// All arguments must outlive the listener.
   PeerListener(boost::asio::io_context& loop,
                LocalExecutor& executor,
+               std::string own_service,
                const Clock& clock,
                TimerService& timers);
   ~PeerListener() override;
@@ -37,6 +38,7 @@
 
   boost::asio::ip::tcp::acceptor acceptor;
   LocalExecutor& executor;
+  const std::string own_service;
   const Clock& clock;
   TimerService& timers;
   boost::intrusive::list<PeerSession, boost::intrusive::constant_time_size<false>> sessions;
--- a/sidecar/peer_network.cc
+++ b/sidecar/peer_network.cc
@@ -1,13 +1,21 @@
 #include "sidecar/peer_network.h"
 
+#include <utility>
+
 namespace masticpin {
 
 PeerNetwork::PeerNetwork(boost::asio::io_context& loop,
                          const Clock& clock,
                          TimerService& timers,
                          PeerLinkObserver& observer,
+                         std::string own_service,
                          std::uint16_t peer_port)
-    : loop(loop), clock(clock), timers(timers), observer(observer), peer_port(peer_port) {}
+    : loop(loop),
+      clock(clock),
+      timers(timers),
+      observer(observer),
+      own_service(std::move(own_service)),
+      peer_port(peer_port) {}
 
 PeerNetwork::~PeerNetwork() {
   for (const auto& [name, link] : this->links) {
@@ -24,7 +32,8 @@
   }
   if (link == nullptr) {
     link = Ref<PeerLink>(new PeerLink(this->loop, this->clock, this->timers, this->observer,
-                                      instance.name, address));
+                                      instance.name, instance.service, this->own_service,
+                                      address));
   }
   return link;
 }
--- a/sidecar/peer_network.h
+++ b/sidecar/peer_network.h
@@ -18,11 +18,12 @@
 /// The connections of this node to the nodes beside other instances.
 class PeerNetwork : public InstanceDirectoryObserver {
  public:
-  /// `peer_port` is the port at which all nodes of the deployment accept each other.
+  /// `own_service` is the service beside this node, `peer_port` the port at which all nodes of the deployment accept each other.
   PeerNetwork(boost::asio::io_context& loop,
               const Clock& clock,
               TimerService& timers,
               PeerLinkObserver& observer,
+              std::string own_service,
               std::uint16_t peer_port);
   ~PeerNetwork() override;
 
@@ -37,6 +38,7 @@
   const Clock& clock;
   TimerService& timers;
   PeerLinkObserver& observer;
+  const std::string own_service;
   const std::uint16_t peer_port;
   /// By name of the instance.
   std::unordered_map<std::string, Ref<PeerLink>> links;
--- a/sidecar/peer_session.cc
+++ b/sidecar/peer_session.cc
@@ -10,8 +10,10 @@
 
 PeerSession::PeerSession(boost::asio::ip::tcp::socket socket,
                          LocalExecutor& executor,
+                         const std::string& own_service,
                          std::uint64_t& next_call)
     : executor(executor),
+      own_service(own_service),
       next_call(next_call),
       stream(new FrameStream(std::move(socket), *this)) {}
 
@@ -50,6 +52,8 @@
         spdlog::warn("event=unknown_peer_protocol protocol={}", frame.hello().protocol());
         this->Close();
       }
+      this->caller_service = frame.hello().caller_service();
+      this->meant_for_own_service = frame.hello().service() == this->own_service;
       break;
     case wire::PeerFrame::kRequest:
       this->OnRequest(*frame.mutable_request());
@@ -92,7 +96,15 @@
     spdlog::warn("event=duplicate_call call={}", peer_call);
     return;
   }
+  if (!this->meant_for_own_service) {
+    // The address belonged to a machine of another service before.
+    wire::ExecutionReply refusal;
+    refusal.set_error(static_cast<std::uint32_t>(ErrorKind::kWrongIncarnation));
+    observer.OnExecutionReply(refusal);
+    return;
+  }
   request.set_call(call);
+  request.set_caller_service(this->caller_service);
   this->executor.Execute(request, observer);
 }
 
--- a/sidecar/peer_session.h
+++ b/sidecar/peer_session.h
@@ -20,9 +20,10 @@
 /// A connection over which another node sends requests for the own instance.
 class PeerSession : public RefCounted<PeerSession>, public PeerSessionHook, private FrameObserver {
  public:
-  /// `next_call` is shared by all sessions: calls of several nodes get numbers of their own.
+  /// `own_service` is the service of the own instance. `next_call` is shared by all sessions: calls of several nodes get numbers of their own.
   PeerSession(boost::asio::ip::tcp::socket socket,
               LocalExecutor& executor,
+              const std::string& own_service,
               std::uint64_t& next_call);
   ~PeerSession() override;
 
@@ -60,7 +61,11 @@
   void OnRequest(wire::ExecutionRequest& request);
 
   LocalExecutor& executor;
+  const std::string& own_service;
   std::uint64_t& next_call;
+  /// What the other node said in its first frame.
+  std::string caller_service;
+  bool meant_for_own_service = false;
   Ref<FrameStream> stream;
   /// By the call number of the other node.
   std::map<std::uint64_t, std::unique_ptr<Execution>> executions;
--- a/sidecar/sidecar_node.cc
+++ b/sidecar/sidecar_node.cc
@@ -20,7 +20,7 @@
 
 /// A stopping node passes requests to its instance for this long. The rest of the stop time is enough
 /// for them to end, and the capacity of the instance is away for no longer than it has to be.
-constexpr Duration kExecutionTime = std::chrono::milliseconds(1000);
+constexpr Duration kExecutionTime = std::chrono::milliseconds(1800);
 
 /// The process ends this long before the end of its stop time at the latest, instead of being killed.
 constexpr Duration kStopMargin = std::chrono::milliseconds(300);
@@ -51,8 +51,9 @@
       read_settings(std::move(read_settings)),
       source(source),
       signals(loop, SIGTERM, SIGINT, SIGHUP),
+      directory(settings.upstream_address, settings.service),
       placer(settings.zone, clock, random),
-      peers(loop, clock, timers, *this, settings.peer_address.port),
+      peers(loop, clock, timers, *this, settings.service, settings.peer_address.port),
       executor(loop, clock, timers, random, source.Dialect(), settings.upstream_address),
       origin(MakeOriginSettings(settings),
              source.Dialect(),
@@ -68,7 +69,7 @@
       request_listener(loop, this->origin, clock, timers),
       ready_listener(loop, this->status, clock, timers),
       metrics_listener(loop, this->status, clock, timers),
-      peer_listener(loop, this->executor, clock, timers) {
+      peer_listener(loop, this->executor, settings.service, clock, timers) {
   this->directory.AddObserver(this->placer);
   this->directory.AddObserver(this->peers);
 }
