Add a randomized soak of real processes

Cause: the tests play faults inside one process. Signals, restarts and connections that lose bytes need real ones.

Change: masticpin-soak starts the program on loopback addresses with a stand-in of the store, scripted servers and proxies, and injects kills, stops, pauses, reloads, delayed, cut and reset connections, a store that refuses, is silent or forgets, new configurations and replaced instances, in series and overlapping. It checks from callers and servers that nothing runs twice, refusals are true, answers are whole and belong to their request, leaving instances get nothing, no process ends by itself, and 95% is served after the faults.

--- /dev/null
+++ b/soak/fault_proxy.cc
@@ -0,0 +1,114 @@
+#include "soak/fault_proxy.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+
+#include "sidecar/tcp_address.h"
+
+namespace masticpin {
+namespace {
+
+constexpr auto kDelay = std::chrono::milliseconds(40);
+
+}  // namespace
+
+struct FaultProxy::Link {
+  Link(boost::asio::ip::tcp::socket accepted, boost::asio::io_context& loop)
+      : near(std::move(accepted)), far(loop) {}
+
+  void Close() {
+    boost::system::error_code ignored;  // Both ends are closed in any case.
+    this->near.close(ignored);
+    this->far.close(ignored);
+  }
+
+  boost::asio::ip::tcp::socket near;
+  boost::asio::ip::tcp::socket far;
+  char forward_buffer[16384];
+  char backward_buffer[16384];
+};
+
+FaultProxy::FaultProxy(boost::asio::io_context& loop,
+                       const SocketAddress& listen,
+                       SocketAddress target)
+    : loop(loop), acceptor(loop, ToEndpoint(listen)), target(std::move(target)) {
+  this->Accept();
+}
+
+void FaultProxy::ResetAll() {
+  for (const std::weak_ptr<Link>& weak : this->links) {
+    if (const std::shared_ptr<Link> link = weak.lock()) {
+      boost::system::error_code ignored;
+      link->near.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+      link->far.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+      link->Close();
+    }
+  }
+  this->links.clear();
+}
+
+void FaultProxy::Accept() {
+  this->acceptor.async_accept(
+      [this](const boost::system::error_code& error, boost::asio::ip::tcp::socket socket) {
+        if (error) {
+          return;
+        }
+        std::erase_if(this->links, [](const auto& weak) { return weak.expired(); });
+        const auto link = std::make_shared<Link>(std::move(socket), this->loop);
+        this->links.push_back(link);
+        link->far.async_connect(ToEndpoint(this->target),
+                                [this, link](const boost::system::error_code& connect_error) {
+                                  if (connect_error) {
+                                    link->Close();
+                                    return;
+                                  }
+                                  this->Pump(link, true);
+                                  this->Pump(link, false);
+                                });
+        this->Accept();
+      });
+}
+
+void FaultProxy::Pump(const std::shared_ptr<Link>& link, bool forward) {
+  auto& from = forward ? link->near : link->far;
+  auto* buffer = forward ? link->forward_buffer : link->backward_buffer;
+  from.async_read_some(
+      boost::asio::buffer(buffer, sizeof(link->forward_buffer)),
+      [this, link, forward, buffer](const boost::system::error_code& error, std::size_t bytes) {
+        if (error) {
+          link->Close();
+          return;
+        }
+        const bool cut = this->fault == Fault::kSilent ||
+                         this->fault == (forward ? Fault::kCutForward : Fault::kCutBackward);
+        if (cut) {
+          this->Pump(link, forward);
+          return;
+        }
+        std::string data(buffer, bytes);
+        if (this->fault != Fault::kDelay) {
+          this->Deliver(link, forward, std::move(data));
+          return;
+        }
+        auto timer = std::make_shared<boost::asio::steady_timer>(this->loop, kDelay);
+        timer->async_wait([this, link, forward, timer,
+                           data = std::move(data)](const boost::system::error_code&) mutable {
+          this->Deliver(link, forward, std::move(data));
+        });
+      });
+}
+
+void FaultProxy::Deliver(const std::shared_ptr<Link>& link, bool forward, std::string bytes) {
+  auto data = std::make_shared<std::string>(std::move(bytes));
+  boost::asio::async_write(
+      forward ? link->far : link->near, boost::asio::buffer(*data),
+      [this, link, forward, data](const boost::system::error_code& error, std::size_t) {
+        if (error) {
+          link->Close();
+          return;
+        }
+        this->Pump(link, forward);
+      });
+}
+
+}  // namespace masticpin
--- /dev/null
+++ b/soak/request_book.cc
@@ -0,0 +1,53 @@
+#include "soak/request_book.h"
+
+#include "sidecar/testing/scripted_server.h"
+
+namespace masticpin {
+
+void RequestBook::OnSent(const std::string& id, bool idempotent) {
+  this->entries[id].idempotent = idempotent;
+}
+
+void RequestBook::OnRun(const std::string& id) {
+  const auto found = this->entries.find(id);
+  if (found == this->entries.end()) {
+    this->problems.push_back("a server ran " + id + ", which nobody sent");
+    return;
+  }
+  if (++found->second.runs > 1 && !found->second.idempotent) {
+    this->problems.push_back(id + " ran twice");
+  }
+}
+
+void RequestBook::OnAnswered(const std::string& id, const std::string& response, bool complete) {
+  if (!complete) {
+    return;
+  }
+  Entry& entry = this->entries[id];
+  entry.status = std::stoi(response.substr(9, 3));
+  if (entry.status == 503) {
+    ++this->refused;
+  }
+  if (entry.status != 200) {
+    return;
+  }
+  ++this->served;
+  const std::string body = response.substr(response.find("\r\n\r\n") + 4);
+  if (body != "answer to " + id + std::string(500, '.')) {
+    this->problems.push_back(id + " got another body: " + body.substr(0, 60));
+  }
+  if (FieldOf(response, "X-Server-Seal") != "seal-" + id) {
+    this->problems.push_back(id + " got another seal");
+  }
+}
+
+const std::vector<std::string>& RequestBook::Check() {
+  for (const auto& [id, entry] : this->entries) {
+    if (!entry.idempotent && entry.status == 503 && entry.runs > 0) {
+      this->problems.push_back(id + " was refused as not run and has run");
+    }
+  }
+  return this->problems;
+}
+
+}  // namespace masticpin
--- /dev/null
+++ b/soak/soak_main.cc
@@ -0,0 +1,421 @@
+#include <gflags/gflags.h>
+#include <signal.h>
+
+#include <boost/asio/steady_timer.hpp>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <memory>
+
+#include "masticpin/testing/seeded_random.h"
+#include "platform/testing/store_stand_in.h"
+#include "sidecar/testing/raw_caller.h"
+#include "sidecar/testing/scripted_server.h"
+#include "soak/fault_proxy.h"
+#include "soak/node_process.h"
+#include "soak/request_book.h"
+
+DEFINE_string(program, "build/masticpin-sidecar", "the program under test");
+DEFINE_uint64(seed, 1, "seed of the first run");
+DEFINE_uint64(runs, 1, "number of runs, each with the next seed");
+DEFINE_uint32(machines, 6, "machines, at least 4; two services share them");
+DEFINE_uint32(seconds, 12, "length of the faults in one run");
+DEFINE_uint32(rate, 150, "requests a second");
+DEFINE_uint32(network,
+              10,
+              "loopback networks to use (2 to 127); runs at the same time need their own");
+DEFINE_string(directory, "/tmp/masticpin-soak", "settings and logs; those of failed runs are kept");
+
+namespace masticpin {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Clock = std::chrono::steady_clock;
+
+/// Time without faults at the end of a run, after which nearly all requests have to be served
+/// again.
+constexpr seconds kCalm{5};
+constexpr seconds kFinalTraffic{4};
+constexpr double kServedAtTheEnd = 0.95;
+
+/// Time in which a leaving instance may still get requests, and a margin for the machine that runs
+/// the soak.
+constexpr milliseconds kLeaveNotice{2000};
+constexpr milliseconds kLeaveMargin{1500};
+
+constexpr std::uint16_t kPeerPort = 27100;
+
+/// One run: a store, some machines with a server, a node and proxies, callers, and random faults.
+class SoakRun {
+ public:
+  SoakRun(std::uint64_t seed, std::string directory)
+      : random(seed), directory(std::move(directory)), store(this->loop) {}
+
+  /// Returns the broken promises.
+  std::vector<std::string> Play();
+
+  const RequestBook& Book() const { return this->book; }
+
+ private:
+  struct Machine {
+    std::string name;
+    std::string service;
+    std::string ip;        // The node and its addresses.
+    std::string entry_ip;  // Where other nodes and the registry see it.
+    std::string instance;
+    std::unique_ptr<ScriptedServer> server;
+    std::unique_ptr<FaultProxy> peer_proxy;
+    std::unique_ptr<FaultProxy> store_proxy;
+    std::unique_ptr<NodeProcess> node;
+    bool draining = false;
+    Clock::time_point draining_since{};
+    /// Until when the node may not know what the registry says.
+    Clock::time_point excused_until{};
+    Clock::time_point restart_at{};
+    bool stopped = false;
+  };
+
+  void AddMachine(unsigned number);
+  void OnServerRequest(Machine& machine,
+                       ScriptedServer::Connection& connection,
+                       const std::string& request);
+  void WriteEntry(const Machine& machine);
+  void WriteConfiguration();
+  void SendRequest();
+  void InjectFault();
+  void Excuse(Machine& machine, Clock::duration time);
+  void Tick();
+  void RunFor(Clock::duration time, bool faults);
+  void Later(Clock::duration delay, std::function<void()> action);
+  Machine& AnyMachine() { return *this->machines[this->random.Below(this->machines.size())]; }
+
+  boost::asio::io_context loop;
+  SeededRandom random;
+  const std::string directory;
+  platform::StoreStandIn store;
+  std::vector<std::unique_ptr<Machine>> machines;
+  RequestBook book;
+  std::vector<std::shared_ptr<RawCaller>> callers;
+  std::uint64_t next_request = 0;
+  std::uint64_t version = 0;
+  std::uint64_t sequence = 0;
+};
+
+void SoakRun::Later(Clock::duration delay, std::function<void()> action) {
+  auto timer = std::make_shared<boost::asio::steady_timer>(this->loop, delay);
+  timer->async_wait([timer, action = std::move(action)](const boost::system::error_code& error) {
+    if (!error) {
+      action();
+    }
+  });
+}
+
+void SoakRun::AddMachine(unsigned number) {
+  auto machine = std::make_unique<Machine>();
+  Machine& m = *machine;
+  m.name = "machine-" + std::to_string(number);
+  m.service = number % 2 == 0 ? "alpha" : "beta";
+  m.ip = "127.0." + std::to_string(2 * FLAGS_network) + "." + std::to_string(number + 1);
+  m.entry_ip = "127.0." + std::to_string(2 * FLAGS_network + 1) + "." + std::to_string(number + 1);
+  m.instance = "i-" + std::to_string(number);
+  m.server = std::make_unique<ScriptedServer>(
+      this->loop, m.entry_ip, [this, &m](auto& connection, const std::string& request) {
+        this->OnServerRequest(m, connection, request);
+      });
+  m.peer_proxy = std::make_unique<FaultProxy>(this->loop, SocketAddress{m.entry_ip, kPeerPort},
+                                              SocketAddress{m.ip, kPeerPort});
+  m.store_proxy = std::make_unique<FaultProxy>(this->loop, SocketAddress{m.ip, kPeerPort + 4},
+                                               this->store.Address());
+  const std::string settings = this->directory + "/" + m.name + ".ini";
+  std::ofstream(settings) << "[node]\nname = " << m.name << "\nservice = " << m.service
+                          << "\nzone = zone-" << number % 3 << "\nrequest_address = " << m.ip << ":"
+                          << kPeerPort + 1 << "\npeer_address = " << m.ip << ":" << kPeerPort
+                          << "\nready_address = " << m.ip << ":" << kPeerPort + 2
+                          << "\nmetrics_address = " << m.ip << ":" << kPeerPort + 3
+                          << "\nupstream_address = " << m.server->Address().ToString()
+                          << "\nregistry_address = " << m.ip << ":" << kPeerPort + 4
+                          << "\n[limits]\nleave_notice_ms = " << kLeaveNotice.count() << "\n";
+  m.node = std::make_unique<NodeProcess>(FLAGS_program, settings,
+                                         this->directory + "/" + m.name + ".log");
+  m.node->Start();
+  this->machines.push_back(std::move(machine));
+  this->WriteEntry(m);
+}
+
+void SoakRun::WriteEntry(const Machine& machine) {
+  this->store.Put(
+      "servers/" + machine.instance,
+      R"({"service":")" + machine.service + R"(","address":")" +
+          machine.server->Address().ToString() + R"(","zone":"z","slots":40,"state":")" +
+          (machine.draining ? "draining" : "ready") + R"(","coldRemainingMs":0,"born":1,"seq":)" +
+          std::to_string(++this->sequence) + "}");
+}
+
+void SoakRun::WriteConfiguration() {
+  this->version += 1 + this->random.Below(5);
+  std::string routes;
+  for (const char* service : {"alpha", "beta"}) {
+    for (const char* kind : {"idempotent", "non_idempotent"}) {
+      routes += (routes.empty() ? "" : ",") + std::string(R"({"name":")") + service + kind +
+                R"(","host":"soak.example","prefix":"/)" + service + "/" + kind + R"(/","kind":")" +
+                kind + R"(","timeoutMs":2500,"targetLatencyMs":500,)" +
+                R"("priority":1,"attempts":2,"service":")" + service + R"("})";
+    }
+  }
+  this->store.Put("op/config", R"({"version":"r)" + std::to_string(this->version) +
+                                   R"(","routes":[)" + routes + R"(],"services":[]})");
+}
+
+void SoakRun::OnServerRequest(Machine& machine,
+                              ScriptedServer::Connection& connection,
+                              const std::string& request) {
+  const std::string id = FieldOf(request, "X-Attempt-Id");
+  const std::string echo = "\r\nX-Attempt-Id: " + id + "\r\n";
+  if (FieldOf(request, "X-Expect-Instance") != machine.instance) {
+    connection.Send("HTTP/1.1 421 Misdirected" + echo + "X-Instance-Id: " + machine.instance +
+                    "\r\nContent-Length: 0\r\n\r\n");
+    return;
+  }
+  const std::uint64_t draw = this->random.Below(1000);
+  if (draw < 10) {
+    connection.Send("HTTP/1.1 503 Full" + echo + "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+    return;
+  }
+  const auto now = Clock::now();
+  if (machine.draining && now - machine.draining_since > kLeaveNotice + kLeaveMargin &&
+      now > machine.excused_until) {
+    this->book.AddProblem(id + " reached " + machine.instance + " after it had left");
+  }
+  this->book.OnRun(id);
+  const std::string body = "answer to " + id + std::string(500, '.');
+  const std::string answer = "HTTP/1.1 200 OK" + echo + "X-Server-Seal: seal-" + id +
+                             "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+                             body;
+  const std::weak_ptr<ScriptedServer::Connection> weak = connection.weak_from_this();
+  this->Later(milliseconds(3 + this->random.Below(30)), [weak, draw, answer] {
+    const auto open = weak.lock();
+    if (open == nullptr) {
+      return;
+    }
+    if (draw < 15) {  // The answer is lost.
+      open->Reset();
+    } else if (draw < 20) {  // The answer is cut.
+      open->Send(answer.substr(0, answer.size() / 2));
+      open->Close();
+    } else if (draw < 25) {  // A second answer follows.
+      open->Send(answer + answer);
+    } else {
+      open->Send(answer);
+    }
+  });
+}
+
+void SoakRun::SendRequest() {
+  Machine& machine = this->AnyMachine();
+  if (!machine.node->Runs() || machine.stopped) {
+    return;
+  }
+  const bool idempotent = this->random.Below(2) == 0;
+  const std::string id = "q" + std::to_string(this->next_request++);
+  const std::string service = this->random.Below(2) == 0 ? "alpha" : "beta";
+  this->book.OnSent(id, idempotent);
+  std::shared_ptr<RawCaller> caller;
+  try {
+    caller = std::make_shared<RawCaller>(
+        this->loop, SocketAddress{machine.ip, static_cast<std::uint16_t>(kPeerPort + 1)});
+  } catch (const boost::system::system_error&) {
+    return;  // The node does not accept connections now; the caller would go elsewhere.
+  }
+  caller->Send((idempotent ? "GET /" : "POST /") + service + "/" +
+               (idempotent ? "idempotent" : "non_idempotent") +
+               "/x HTTP/1.1\r\nHost: soak.example\r\nX-Attempt-Id: " + id +
+               "\r\nX-Deadline-Ms: 2000\r\n" + (idempotent ? "" : "Content-Length: 0\r\n") +
+               "\r\n");
+  this->callers.push_back(caller);
+  // Some callers leave early.
+  const auto wait = this->random.Below(20) == 0 ? milliseconds(10) : milliseconds(3500);
+  this->Later(wait, [this, id, caller] {
+    this->book.OnAnswered(id, caller->Received(), caller->Responses() > 0);
+    caller->Close();
+    std::erase(this->callers, caller);
+  });
+}
+
+void SoakRun::Excuse(Machine& machine, Clock::duration time) {
+  machine.excused_until = std::max(machine.excused_until, Clock::now() + time + seconds(4));
+}
+
+void SoakRun::InjectFault() {
+  Machine& machine = this->AnyMachine();
+  const auto length = milliseconds(300 + this->random.Below(2500));
+  const auto proxy_fault = [&](FaultProxy& proxy) {
+    const FaultProxy::Fault faults[] = {FaultProxy::Fault::kDelay, FaultProxy::Fault::kCutForward,
+                                        FaultProxy::Fault::kCutBackward,
+                                        FaultProxy::Fault::kSilent};
+    proxy.SetFault(faults[this->random.Below(4)]);
+    this->Excuse(machine, length);
+    this->Later(length, [&proxy] {
+      // Connections that have lost bytes are of no use to either side.
+      proxy.ResetAll();
+      proxy.SetFault(FaultProxy::Fault::kNone);
+    });
+  };
+  switch (this->random.Below(11)) {
+    case 0:
+      machine.node->Signal(SIGKILL);
+      this->Excuse(machine, length);
+      break;
+    case 1:
+      machine.node->Signal(SIGTERM);
+      this->Excuse(machine, seconds(6));
+      break;
+    case 2:
+      machine.node->Signal(SIGSTOP);
+      machine.stopped = true;
+      this->Excuse(machine, length);
+      this->Later(length, [&machine] {
+        machine.node->Signal(SIGCONT);
+        machine.stopped = false;
+      });
+      break;
+    case 3:
+      machine.node->Signal(SIGHUP);
+      break;
+    case 4:
+      proxy_fault(*machine.peer_proxy);
+      break;
+    case 5:
+      machine.peer_proxy->ResetAll();
+      break;
+    case 6:
+      proxy_fault(*machine.store_proxy);
+      break;
+    case 7:
+      this->store.fault = this->random.Below(2) == 0 ? 503 : -1;
+      for (const auto& each : this->machines) {
+        this->Excuse(*each, length);
+      }
+      this->Later(length, [this] { this->store.fault = 0; });
+      break;
+    case 8:
+      this->store.Compact();
+      break;
+    case 9:
+      this->WriteConfiguration();
+      break;
+    default:
+      if (!machine.draining) {
+        machine.draining = true;
+        machine.draining_since = Clock::now();
+        this->WriteEntry(machine);
+        this->Later(seconds(4), [this, &machine] {
+          // The instance is replaced by a new process under another name.
+          this->store.Remove("servers/" + machine.instance);
+          machine.instance += "n";
+          machine.draining = false;
+          this->WriteEntry(machine);
+        });
+      }
+      break;
+  }
+}
+
+void SoakRun::Tick() {
+  for (const auto& machine : this->machines) {
+    const bool ran = machine->node->Runs();
+    if (machine->node->Poll()) {
+      continue;
+    }
+    if (machine->node->TakeUnexpectedEnd()) {
+      this->book.AddProblem(machine->name + " ended by itself");
+    }
+    if (ran) {
+      machine->restart_at = Clock::now() + milliseconds(200);
+    } else if (Clock::now() >= machine->restart_at) {
+      machine->node->Start();
+    }
+  }
+}
+
+void SoakRun::RunFor(Clock::duration time, bool faults) {
+  const auto end = Clock::now() + time;
+  auto next_request_at = Clock::now();
+  auto next_fault_at = Clock::now();
+  auto next_beat_at = Clock::now();
+  while (Clock::now() < end) {
+    const auto now = Clock::now();
+    if (now >= next_request_at) {
+      this->SendRequest();
+      next_request_at = now + std::chrono::microseconds(1000000 / FLAGS_rate);
+    }
+    if (faults && now >= next_fault_at) {
+      this->InjectFault();
+      next_fault_at = now + milliseconds(100 + this->random.Below(600));
+    }
+    if (now >= next_beat_at) {
+      for (const auto& machine : this->machines) {
+        this->WriteEntry(*machine);
+      }
+      next_beat_at = now + milliseconds(1500);
+    }
+    this->Tick();
+    this->loop.restart();
+    this->loop.run_for(milliseconds(1));
+  }
+}
+
+std::vector<std::string> SoakRun::Play() {
+  this->WriteConfiguration();
+  for (unsigned i = 0; i < FLAGS_machines; ++i) {
+    this->AddMachine(i);
+  }
+  this->RunFor(seconds(2), false);
+  this->RunFor(seconds(FLAGS_seconds), true);
+  this->RunFor(kCalm, false);
+  const std::uint64_t sent = this->book.Sent();
+  const std::uint64_t served = this->book.Served();
+  this->RunFor(kFinalTraffic, false);
+  // The last requests of the calm time are still answered here.
+  const std::uint64_t sent_at_end = this->book.Sent() - sent;
+  this->RunFor(seconds(4), false);
+  const double share =
+      static_cast<double>(this->book.Served() - served) / static_cast<double>(sent_at_end);
+  if (share < kServedAtTheEnd) {
+    this->book.AddProblem("only " + std::to_string(share) + " is served after the faults");
+  }
+  return this->book.Check();
+}
+
+}  // namespace
+}  // namespace masticpin
+
+int main(int argc, char** argv) {
+  gflags::SetUsageMessage(
+      "masticpin-soak [--seed=N] [--runs=N]: plays random faults against real processes");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  signal(SIGPIPE, SIG_IGN);
+  int failed = 0;
+  for (std::uint64_t run = 0; run < FLAGS_runs; ++run) {
+    const std::uint64_t seed = FLAGS_seed + run;
+    const std::string directory = FLAGS_directory + "/seed-" + std::to_string(seed);
+    std::filesystem::remove_all(directory);
+    std::filesystem::create_directories(directory);
+    masticpin::SoakRun soak(seed, directory);
+    const std::vector<std::string> problems = soak.Play();
+    std::cout << "seed=" << seed << " sent=" << soak.Book().Sent()
+              << " served=" << soak.Book().Served() << " refused=" << soak.Book().Refused()
+              << " problems=" << problems.size() << std::endl;
+    for (const std::string& problem : problems) {
+      std::cout << "  " << problem << "\n";
+    }
+    if (problems.empty()) {
+      std::filesystem::remove_all(directory);
+    } else {
+      ++failed;
+    }
+  }
+  return failed == 0 ? 0 : 1;
+}
