Learn the deployment from other nodes, and throttle by chains only

Cause: a node that restarted while the registry was down refused all requests for its instance, because it knew neither its name nor the configuration. The share of routes with few requests grew four times more slowly, because its steps were tied to longer intervals.

Change: nodes answer each other with the configuration and the entries that they know; a node asks while it has no configuration or the registry does not answer it. An instance whose name is not known is asked with a name that it refuses, and names itself. Only refusals deeper in the chain lower the admitted share, and it grows by elapsed time.

--- a/masticpin/admission/entry_throttle.cc
+++ b/masticpin/admission/entry_throttle.cc
@@ -1,8 +1,15 @@
 #include "masticpin/admission/entry_throttle.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace masticpin {
+namespace {
+
+/// Steps of growth that one long interval may make up for.
+constexpr double kMostSteps = 4;
+
+}  // namespace
 
 bool EntryThrottle::Admit(std::uint16_t rank) {
   this->Update();
@@ -35,7 +42,11 @@
     this->share = std::max(this->carried, this->settings.least_share);
     this->last_decrease = now;
   } else {
-    this->share = std::min(this->share * this->Growth(now), 1.0);
+    // Intervals of routes with few requests are longer; their share must not grow more slowly.
+    const std::chrono::duration<double> elapsed = age;
+    const std::chrono::duration<double> interval = this->settings.interval;
+    const double steps = std::min(elapsed / interval, kMostSteps);
+    this->share = std::min(this->share * std::pow(this->Growth(now), steps), 1.0);
   }
   this->interval_start = now;
   this->ended = 0;
--- a/masticpin/routing/instance_directory.cc
+++ b/masticpin/routing/instance_directory.cc
@@ -85,6 +85,13 @@
   }
 }
 
+void InstanceDirectory::ApplyEntries(const std::vector<UpstreamInstance>& entries) {
+  this->known = true;
+  for (const UpstreamInstance& entry : entries) {
+    this->Apply(entry);
+  }
+}
+
 void InstanceDirectory::ApplyMissing(std::string_view name, std::uint64_t revision, TimePoint now) {
   if (!this->AreMissingHeldBack(now)) {
     this->Remove(name, revision);
--- a/masticpin/routing/instance_directory.h
+++ b/masticpin/routing/instance_directory.h
@@ -46,6 +46,9 @@
   /// those that it does not contain, except those that are newer than the list.
   void ApplyList(const std::vector<UpstreamInstance>& list, std::uint64_t revision, TimePoint now);
 
+  /// Takes over entries that another node knows. They imply no removal.
+  void ApplyEntries(const std::vector<UpstreamInstance>& entries);
+
   /// The registry has no entry of this name at `revision`. Like a list without it.
   void ApplyMissing(std::string_view name, std::uint64_t revision, TimePoint now);
 
@@ -58,6 +61,14 @@
   /// Returns the instance that listens at `address`, or nullptr.
   const UpstreamInstance* FindByAddress(const SocketAddress& address) const;
 
+  /// Calls `visit` with each instance.
+  template <typename Visitor>
+  void ForEach(const Visitor& visit) const {
+    for (const auto& [name, instance] : this->instances) {
+      visit(instance);
+    }
+  }
+
   /// Whether a list was received.
   bool IsKnown() const { return this->known; }
 
--- a/sidecar/local_execution.cc
+++ b/sidecar/local_execution.cc
@@ -10,6 +10,10 @@
 namespace masticpin {
 namespace {
 
+/// Expected in place of a name that neither the registry nor a response has told yet: the instance
+/// refuses the request and names itself.
+constexpr std::string_view kUnknownInstance = "unknown";
+
 /// Time that the instance's own answer at the deadline gets before the node gives up the run.
 constexpr Duration kAnswerMargin = std::chrono::milliseconds(100);
 
@@ -116,7 +120,10 @@
   message.append(dialect.request_id).append(": ").append(this->request.request_id());
   message.append("\r\n").append(dialect.caller_service).append(": ");
   message.append(this->request.caller_service()).append("\r\n");
-  message.append(dialect.expected_instance).append(": ").append(this->executor.instance_name);
+  message.append(dialect.expected_instance).append(": ");
+  message.append(this->executor.instance_name.empty()
+                     ? kUnknownInstance
+                     : std::string_view(this->executor.instance_name));
   message.append("\r\n");
   if (HasBody(this->request)) {
     message.append("Content-Length: ").append(std::to_string(this->request.body().size()));
--- a/sidecar/local_executor.cc
+++ b/sidecar/local_executor.cc
@@ -62,9 +62,7 @@
   ++this->statistics.offered;
   const Ref<LocalExecution> execution(new LocalExecution(*this, request, observer));
   this->executions.emplace(request.call(), execution);
-  if (this->instance_name.empty()) {
-    execution->Refuse(ErrorKind::kWrongIncarnation, Duration::zero());
-  } else if (this->instance_leaving || this->draining) {
+  if (this->instance_leaving || this->draining) {
     execution->Refuse(ErrorKind::kDraining, Duration::zero());
   } else {
     execution->Start();
--- a/sidecar/origin_request.cc
+++ b/sidecar/origin_request.cc
@@ -207,6 +207,7 @@
   }
   if (reply.chain_refused()) {
     this->refused_for_load = true;
+    this->chain_refused = true;
   }
   if (reply.error() != 0) {
     const ErrorKind kind = ErrorKindFromWire(reply.error());
@@ -386,7 +387,7 @@
   this->origin.timers.Cancel(*this);
   if (this->counted_by_throttle) {
     this->origin.ThrottleFor(*this->route)
-        .OnEnd(this->exchange->ArrivedAt(), this->refused_for_load && reply.status >= 500);
+        .OnEnd(this->exchange->ArrivedAt(), this->chain_refused && reply.status >= 500);
   }
   this->origin.latency.Record(this->origin.clock.Now() - this->exchange->ArrivedAt());
   this->origin.metrics
@@ -409,8 +410,7 @@
     this->EndAttempt(PlacementOutcome::kNone);
   }
   if (this->counted_by_throttle) {
-    this->origin.ThrottleFor(*this->route)
-        .OnEnd(this->exchange->ArrivedAt(), this->refused_for_load);
+    this->origin.ThrottleFor(*this->route).OnEnd(this->exchange->ArrivedAt(), this->chain_refused);
   }
   spdlog::info("event=caller_gone id={} route={} instance={}", this->id, this->route->name,
                this->instance);
--- a/sidecar/origin_request.h
+++ b/sidecar/origin_request.h
@@ -70,6 +70,8 @@
   /// Whether the entry throttle of the route waits for the end of the request.
   bool counted_by_throttle = false;
   bool refused_for_load = false;
+  /// A call that the request caused was refused for load.
+  bool chain_refused = false;
   /// An attempt ended without proof that the request did not run.
   bool may_have_run = false;
   bool finished = false;
--- a/sidecar/peer_link.cc
+++ b/sidecar/peer_link.cc
@@ -151,6 +151,12 @@
     case wire::PeerFrame::kKeepAliveReply:
       this->observer.OnPeerLoad(this->instance, ToLoadReport(frame.keep_alive_reply().load()));
       break;
+    case wire::PeerFrame::kCatalogRequest: {
+      wire::PeerFrame answer;
+      this->observer.OnPeerCatalogRequest(frame.catalog_request(), *answer.mutable_catalog());
+      this->stream->Send(answer);
+      break;
+    }
     case wire::PeerFrame::kLeaving:
       this->observer.OnPeerLeaving(this->instance);
       break;
--- a/sidecar/peer_listener.cc
+++ b/sidecar/peer_listener.cc
@@ -14,6 +14,9 @@
 /// Pause after accept() failed, usually because the process has no free descriptor.
 constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
 
+/// Nodes that are asked for news at a time.
+constexpr int kAskedNodes = 2;
+
 /// Nodes that connect at the same moment; all of a large fleet do so after it was restarted.
 constexpr int kBacklog = 1024;
 
@@ -22,11 +25,13 @@
 PeerListener::PeerListener(boost::asio::io_context& loop,
                            LocalExecutor& executor,
                            std::string own_service,
+                           DeploymentKnowledge& knowledge,
                            const Clock& clock,
                            TimerService& timers)
     : acceptor(loop),
       executor(executor),
       own_service(std::move(own_service)),
+      knowledge(knowledge),
       clock(clock),
       timers(timers) {}
 
@@ -44,6 +49,21 @@
   return error;
 }
 
+void PeerListener::AskForCatalog() {
+  // Two nodes are enough to notice a change within two rounds, also if one of them lags.
+  int asked = 0;
+  for (PeerSession& session : this->sessions) {
+    if (asked++ == kAskedNodes) {
+      break;
+    }
+    session.AskForCatalog();
+  }
+  // The next round asks others.
+  if (!this->sessions.empty()) {
+    this->sessions.splice(this->sessions.end(), this->sessions, this->sessions.begin());
+  }
+}
+
 void PeerListener::AnnounceLeaving() {
   this->leaving = true;
   for (PeerSession& session : this->sessions) {
@@ -61,26 +81,26 @@
 }
 
 void PeerListener::Accept() {
-  this->acceptor.async_accept(
-      [this](const boost::system::error_code& error, boost::asio::ip::tcp::socket socket) {
-        if (error == boost::asio::error::operation_aborted) {
-          return;  // The listener is stopped or destroyed.
-        }
-        if (error) {
-          spdlog::warn("event=accept_failed reason=\"{}\"", error.message());
-          this->timers.Schedule(*this, this->clock.Now() + kAcceptPause);
-          return;
-        }
-        EnableFastLossDetection(socket);
-        const Ref<PeerSession> session(
-            new PeerSession(std::move(socket), this->executor, this->own_service, this->next_call));
-        this->sessions.push_back(*session);
-        session->Start();
-        if (this->leaving) {
-          session->AnnounceLeaving();
-        }
-        this->Accept();
-      });
+  this->acceptor.async_accept([this](const boost::system::error_code& error,
+                                     boost::asio::ip::tcp::socket socket) {
+    if (error == boost::asio::error::operation_aborted) {
+      return;  // The listener is stopped or destroyed.
+    }
+    if (error) {
+      spdlog::warn("event=accept_failed reason=\"{}\"", error.message());
+      this->timers.Schedule(*this, this->clock.Now() + kAcceptPause);
+      return;
+    }
+    EnableFastLossDetection(socket);
+    const Ref<PeerSession> session(new PeerSession(
+        std::move(socket), this->executor, this->own_service, this->knowledge, this->next_call));
+    this->sessions.push_back(*session);
+    session->Start();
+    if (this->leaving) {
+      session->AnnounceLeaving();
+    }
+    this->Accept();
+  });
 }
 
 }  // namespace masticpin
--- a/sidecar/peer_listener.h
+++ b/sidecar/peer_listener.h
@@ -20,6 +20,7 @@
   PeerListener(boost::asio::io_context& loop,
                LocalExecutor& executor,
                std::string own_service,
+               DeploymentKnowledge& knowledge,
                const Clock& clock,
                TimerService& timers);
   ~PeerListener() override;
@@ -27,6 +28,9 @@
   /// Returns an error text if the address cannot be bound, or an empty text.
   std::string Listen(const SocketAddress& address);
 
+  /// Asks some of the connected nodes for what they know of the deployment, if this one needs it.
+  void AskForCatalog();
+
   /// Tells all connected nodes that this one is about to stop.
   void AnnounceLeaving();
 
@@ -39,6 +43,7 @@
   boost::asio::ip::tcp::acceptor acceptor;
   LocalExecutor& executor;
   const std::string own_service;
+  DeploymentKnowledge& knowledge;
   const Clock& clock;
   TimerService& timers;
   boost::intrusive::list<PeerSession, boost::intrusive::constant_time_size<false>> sessions;
--- a/sidecar/peer_session.cc
+++ b/sidecar/peer_session.cc
@@ -11,9 +11,11 @@
 PeerSession::PeerSession(boost::asio::ip::tcp::socket socket,
                          LocalExecutor& executor,
                          const std::string& own_service,
+                         DeploymentKnowledge& knowledge,
                          std::uint64_t& next_call)
     : executor(executor),
       own_service(own_service),
+      knowledge(knowledge),
       next_call(next_call),
       stream(new FrameStream(std::move(socket), *this)) {}
 
@@ -24,6 +26,14 @@
 void PeerSession::Start() {
   this->self = Ref<PeerSession>(this);
   this->stream->Start();
+  this->AskForCatalog();
+}
+
+void PeerSession::AskForCatalog() {
+  wire::PeerFrame frame;
+  if (this->knowledge.NeedsCatalog(*frame.mutable_catalog_request())) {
+    this->stream->Send(frame);
+  }
 }
 
 void PeerSession::AnnounceLeaving() {
@@ -67,6 +77,9 @@
       }
       break;
     }
+    case wire::PeerFrame::kCatalog:
+      this->knowledge.ApplyCatalog(frame.catalog());
+      break;
     case wire::PeerFrame::kKeepAlive: {
       wire::PeerFrame reply;
       FromLoadReport(this->executor.GetLoad(), *reply.mutable_keep_alive_reply()->mutable_load());
--- a/sidecar/peer_session.h
+++ b/sidecar/peer_session.h
@@ -7,6 +7,7 @@
 #include <memory>
 
 #include "masticpin/base/ref_counted.h"
+#include "sidecar/deployment_knowledge.h"
 #include "sidecar/execution_observer.h"
 #include "sidecar/frame_stream.h"
 #include "sidecar/local_executor.h"
@@ -25,6 +26,7 @@
   PeerSession(boost::asio::ip::tcp::socket socket,
               LocalExecutor& executor,
               const std::string& own_service,
+              DeploymentKnowledge& knowledge,
               std::uint64_t& next_call);
   ~PeerSession() override;
 
@@ -33,6 +35,9 @@
   /// Tells the other node that this one is about to stop.
   void AnnounceLeaving();
 
+  /// Asks the other node for what it knows of the deployment, if this one needs it.
+  void AskForCatalog();
+
   /// Closes the connection. Requests of the other node that do not run yet are not run.
   void Close();
 
@@ -63,6 +68,7 @@
 
   LocalExecutor& executor;
   const std::string& own_service;
+  DeploymentKnowledge& knowledge;
   std::uint64_t& next_call;
   /// What the other node said in its first frame.
   std::string caller_service;
--- a/sidecar/request_origin.h
+++ b/sidecar/request_origin.h
@@ -63,6 +63,9 @@
   /// Takes over another shared retry budget.
   void SetRetries(const RetryAllowanceSettings& retries);
 
+  /// The configuration in force; nullptr while there is none.
+  const RoutingConfiguration* Configuration() const { return this->configuration.get(); }
+
   /// The version in force; 0 while there is none.
   std::uint64_t ConfigurationVersion() const;
 
--- a/sidecar/sidecar_node.cc
+++ b/sidecar/sidecar_node.cc
@@ -5,6 +5,8 @@
 #include <csignal>
 #include <utility>
 
+#include "sidecar/catalog_codec.h"
+
 namespace masticpin {
 namespace {
 
@@ -14,6 +16,9 @@
 /// Two seconds between two lines about the load, the resolution at which a surge is explained.
 constexpr std::uint32_t kTicksPerLoadLine = 8;
 
+/// While the registry does not answer, other nodes are asked once a second.
+constexpr std::uint32_t kTicksPerCatalogRequest = 4;
+
 /// A stopping node stays at least this long, so that the platform notices that it is not ready (it
 /// asks once a second and believes the second answer) and callers move to other machines.
 constexpr Duration kLeastStopTime = std::chrono::milliseconds(2200);
@@ -71,7 +76,7 @@
       request_listener(loop, this->origin, clock, timers),
       ready_listener(loop, this->status, clock, timers),
       metrics_listener(loop, this->status, clock, timers),
-      peer_listener(loop, this->executor, settings.service, clock, timers) {
+      peer_listener(loop, this->executor, settings.service, *this, clock, timers) {
   this->directory.AddObserver(this->placer);
   this->directory.AddObserver(this->peers);
 }
@@ -168,6 +173,7 @@
 
 void SidecarNode::OnRegistryLost(std::string_view reason) {
   spdlog::warn("event=registry_lost reason=\"{}\"", reason);
+  this->registry_lost = true;
   this->directory.OnRegistryUnreachable(this->clock.Now());
 }
 
@@ -177,6 +183,7 @@
 
 void SidecarNode::OnRegistryRegained() {
   spdlog::info("event=registry_regained");
+  this->registry_lost = false;
 }
 
 void SidecarNode::OnPeerLoad(std::string_view instance, const LoadReport& load) {
@@ -192,6 +199,50 @@
   this->placer.OnNodeClosed(instance);
 }
 
+void SidecarNode::OnPeerCatalogRequest(const wire::CatalogRequest& request,
+                                       wire::Catalog& catalog) {
+  this->FillCatalog(request, catalog);
+}
+
+void SidecarNode::FillCatalog(const wire::CatalogRequest& request, wire::Catalog& catalog) const {
+  const RoutingConfiguration* configuration = this->origin.Configuration();
+  if (configuration != nullptr && configuration->Version() > request.configuration_version()) {
+    EncodeConfiguration(*configuration, *catalog.mutable_configuration());
+  }
+  this->directory.ForEach([&catalog](const UpstreamInstance& instance) {
+    EncodeInstance(instance, *catalog.add_instances());
+  });
+}
+
+void SidecarNode::ApplyCatalog(const wire::Catalog& catalog) {
+  if (catalog.has_configuration()) {
+    const Ref<const RoutingConfiguration> configuration =
+        DecodeConfiguration(catalog.configuration());
+    if (configuration == nullptr) {
+      spdlog::warn("event=catalog_refused version={}", catalog.configuration().version());
+    } else {
+      this->OnConfiguration(configuration);
+    }
+  }
+  std::vector<UpstreamInstance> instances;
+  for (const wire::Instance& encoded : catalog.instances()) {
+    std::optional<UpstreamInstance> instance = DecodeInstance(encoded);
+    if (instance) {
+      instances.push_back(std::move(*instance));
+    }
+  }
+  if (!instances.empty()) {
+    this->directory.ApplyEntries(instances);
+    this->UpdateOwnInstance();
+    this->UpdateReady();
+  }
+}
+
+bool SidecarNode::NeedsCatalog(wire::CatalogRequest& request) const {
+  request.set_configuration_version(this->origin.ConfigurationVersion());
+  return this->registry_lost || this->origin.ConfigurationVersion() == 0;
+}
+
 void SidecarNode::UpdateOwnInstance() {
   const UpstreamInstance* own = this->directory.FindByAddress(this->settings.upstream_address);
   this->executor.SetInstance(own);
@@ -225,6 +276,9 @@
   if (++this->ticks % kTicksPerLoadLine == 0) {
     this->LogLoad();
   }
+  if (this->ticks % kTicksPerCatalogRequest == 0) {
+    this->peer_listener.AskForCatalog();
+  }
   if (this->executor.TakeConnectionCloseSeen()) {
     this->source.RefreshOwnInstance();
   }
--- a/sidecar/sidecar_node.h
+++ b/sidecar/sidecar_node.h
@@ -12,6 +12,7 @@
 #include "masticpin/routing/instance_directory.h"
 #include "masticpin/routing/instance_placer.h"
 #include "masticpin/settings/sidecar_settings.h"
+#include "sidecar/deployment_knowledge.h"
 #include "sidecar/deployment_observer.h"
 #include "sidecar/deployment_source.h"
 #include "sidecar/http_listener.h"
@@ -26,7 +27,10 @@
 namespace masticpin {
 
 /// The whole node beside one instance, on one event loop.
-class SidecarNode : private DeploymentObserver, private PeerLinkObserver, private TimerSubscriber {
+class SidecarNode : private DeploymentObserver,
+                    private DeploymentKnowledge,
+                    private PeerLinkObserver,
+                    private TimerSubscriber {
  public:
   /// Reads the settings file again; returns nothing if it is not valid now.
   using SettingsReader = std::function<std::optional<SidecarSettings>()>;
@@ -58,6 +62,10 @@
   void OnPeerLoad(std::string_view instance, const LoadReport& load) override;
   void OnPeerLeaving(std::string_view instance) override;
   void OnPeerClosed(std::string_view instance) override;
+  void OnPeerCatalogRequest(const wire::CatalogRequest& request, wire::Catalog& catalog) override;
+  void FillCatalog(const wire::CatalogRequest& request, wire::Catalog& catalog) const override;
+  void ApplyCatalog(const wire::Catalog& catalog) override;
+  bool NeedsCatalog(wire::CatalogRequest& request) const override;
   void OnTimer(TimePoint now) override;
 
   void WaitForSignal();
@@ -89,6 +97,7 @@
   HttpListener metrics_listener;
   PeerListener peer_listener;
 
+  bool registry_lost = false;
   std::string own_instance;
   std::uint64_t own_incarnation = 0;
   bool stopping = false;
--- a/sidecar/sidecar_node_test.cc
+++ b/sidecar/sidecar_node_test.cc
@@ -458,6 +458,81 @@
   EXPECT_NE(caller.Received().find("Connection: close"), std::string::npos);
 }
 
+// Guards against a node that is of no use until the registry returns: seen when nodes were
+// restarted in turn while it was down, and refused all requests for their instances for seconds.
+TEST_F(SidecarNodeTest, NodeThatRestartsWithoutRegistryLearnsFromOthers) {
+  const auto answer_if_meant = [](const std::string& name) {
+    return [name](Connection& connection, const std::string& request) {
+      if (FieldOf(request, "Test-Expected") != name) {
+        connection.Send(
+            TestFleet::Answer(request, "", "Test-Instance: " + name + "\r\n", "421 Misdirected"));
+        return;
+      }
+      connection.Send(TestFleet::Answer(request));
+    };
+  };
+  this->fleet.AddMachine("front", answer_if_meant("i-0"));
+  this->fleet.AddMachine("page", answer_if_meant("i-1"));
+  this->fleet.AddRoute("r", "page", true);
+  this->fleet.Start();
+  ASSERT_EQ(StatusOf(this->Ask(TestFleet::Request("1", "r"))), 200);
+  this->fleet.Kill(1);
+  this->fleet.RunFor(milliseconds(50));
+  this->fleet.StartNode(1);
+  this->fleet.At(1).deployment->observer->OnRegistryLost("test");
+  this->fleet.RunFor(milliseconds(200));
+  // The instance is served although its node has heard nothing of the registry.
+  EXPECT_EQ(StatusOf(this->Ask(TestFleet::Request("2", "r"))), 200);
+  // The connection of the other node has told the configuration too.
+  RawCaller caller(this->fleet.Loop(), this->fleet.RequestAddress(1));
+  caller.Send(TestFleet::Request("3", "r"));
+  ASSERT_TRUE(this->fleet.RunUntil([&] { return caller.Responses() == 1; }));
+  EXPECT_EQ(StatusOf(caller.Received()), 200);
+}
+
+// Guards against a configuration that goes back: another node may be behind.
+TEST_F(SidecarNodeTest, OlderConfigurationOfAnotherNodeIsIgnored) {
+  this->fleet.AddMachine("page", AnswerAll);
+  this->fleet.AddRoute("r", "page", true);
+  this->fleet.Start();
+  this->fleet.At(0).deployment->observer->OnConfiguration(
+      Ref<const RoutingConfiguration>(new RoutingConfiguration(0, {}, {}, RequestLimits{})));
+  EXPECT_EQ(StatusOf(this->Ask(TestFleet::Request("1", "r"))), 200);
+}
+
+// Guards against a throttle that keeps callers out of a service which has room again: only refusals
+// deeper in the chain, which come after work was done, may lower the admitted share.
+TEST_F(SidecarNodeTest, RefusalsAtTheFirstServiceDoNotThrottleTheRoute) {
+  std::vector<std::pair<Connection*, std::string>> held;
+  bool hold = true;
+  this->fleet.AddMachine("page", [&](Connection& connection, const std::string& request) {
+    if (hold) {
+      held.emplace_back(&connection, request);
+      return;
+    }
+    connection.Send(TestFleet::Answer(request));
+  });
+  this->fleet.At(0).entry.slots = 1;
+  this->fleet.AddRoute("r", "page", true);
+  this->fleet.Start();
+  std::vector<std::unique_ptr<RawCaller>> callers;
+  for (int i = 0; i < 60; ++i) {
+    callers.push_back(
+        std::make_unique<RawCaller>(this->fleet.Loop(), this->fleet.RequestAddress(0)));
+    callers.back()->Send(TestFleet::Request("held-" + std::to_string(i), "r"));
+    this->fleet.RunFor(milliseconds(10));
+  }
+  this->fleet.RunFor(milliseconds(300));
+  hold = false;
+  for (const auto& [connection, request] : held) {
+    connection->Send(TestFleet::Answer(request));
+  }
+  this->fleet.RunFor(milliseconds(100));
+  for (int i = 0; i < 20; ++i) {
+    EXPECT_EQ(StatusOf(this->Ask(TestFleet::Request("after-" + std::to_string(i), "r"))), 200);
+  }
+}
+
 // Guards against calls of a request that are refused before work of lower rank, and against a chain
 // whose failure the first node does not learn.
 TEST_F(SidecarNodeTest, CallsOfARequestInheritItsImportance) {
--- a/sidecar/testing/test_fleet.cc
+++ b/sidecar/testing/test_fleet.cc
@@ -71,11 +71,8 @@
 }
 
 void TestFleet::Start() {
-  for (const auto& machine : this->machines) {
-    machine->node = std::make_unique<SidecarNode>(
-        this->loop, this->clock, this->timers, this->random, machine->settings,
-        [settings = machine->settings] { return settings; }, *machine->deployment);
-    ASSERT_EQ(machine->node->Start(), "");
+  for (std::size_t machine = 0; machine < this->machines.size(); ++machine) {
+    this->StartNode(machine);
   }
   this->PublishConfiguration();
   this->PublishInstances();
@@ -104,6 +101,14 @@
   }
 }
 
+void TestFleet::StartNode(std::size_t number) {
+  Machine& machine = this->At(number);
+  machine.node = std::make_unique<SidecarNode>(
+      this->loop, this->clock, this->timers, this->random, machine.settings,
+      [settings = machine.settings] { return settings; }, *machine.deployment);
+  ASSERT_EQ(machine.node->Start(), "");
+}
+
 void TestFleet::Kill(std::size_t machine) {
   this->At(machine).node.reset();
 }
--- a/sidecar/testing/test_fleet.h
+++ b/sidecar/testing/test_fleet.h
@@ -51,6 +51,9 @@
   /// Ends the process of a node: its sockets close.
   void Kill(std::size_t machine);
 
+  /// Starts a node, which knows nothing of the deployment yet.
+  void StartNode(std::size_t machine);
+
   /// Runs the event loop until `done` or for `limit`. Returns whether `done` holds.
   bool RunUntil(const std::function<bool()>& done, Duration limit = std::chrono::seconds(5));
   void RunFor(Duration time);
