End a stop although callers go on

Ruled out: executions in progress (the node refused new ones after 1.8 s and logged in_flight=0), and the registry (in service, 2 ms an answer).

Change: a stopping node accepts no more callers once the platform had time to notice the stop; requests that it has are finished.

--- a/sidecar/sidecar_node.cc
+++ b/sidecar/sidecar_node.cc
@@ -293,9 +293,15 @@
     this->executor.Drain();
     this->peer_listener.AnnounceLeaving();
   }
+  if (since >= kLeastStopTime) {
+    // Callers that have no other machine go on calling. They would keep the process, and with it
+    // the capacity of the instance, away until the end of the stop time.
+    this->request_listener.Stop();
+  }
   const bool done = since >= kLeastStopTime && !this->IsBusy();
   if (done || since >= this->settings.stop_time - kStopMargin) {
     spdlog::info("event=node_stopped name={} busy={}", this->settings.name, this->IsBusy());
+    this->stopped = true;
     this->loop.stop();
   }
 }
--- a/sidecar/sidecar_node.h
+++ b/sidecar/sidecar_node.h
@@ -51,6 +51,9 @@
   /// Stops the node: it finishes what is in progress and then ends the loop.
   void Stop();
 
+  /// Whether a stop has come to its end.
+  bool HasStopped() const { return this->stopped; }
+
  private:
   void OnConfiguration(Ref<const RoutingConfiguration> configuration) override;
   void OnInstanceList(const std::vector<UpstreamInstance>& list, std::uint64_t revision) override;
@@ -101,6 +104,7 @@
   std::string own_instance;
   std::uint64_t own_incarnation = 0;
   bool stopping = false;
+  bool stopped = false;
   /// Whether the own instance takes no more requests because the node stops.
   bool executions_ended = false;
   TimePoint stop_requested_at{};
