--- a/masticpin/routing/instance_placer.cc
+++ b/masticpin/routing/instance_placer.cc
@@ -146,35 +146,6 @@
   }
 }
 
-double InstancePlacer::LeastUtilisation(std::string_view service) const {
-  const auto found = this->services.find(service);
-  if (found == this->services.end()) {
-    return 0;
-  }
-  const TimePoint now = this->clock.Now();
-  double least = 0;
-  bool any = false;
-  for (const auto& candidate : found->second) {
-    if (this->IsUsable(*candidate, now)) {
-      const double utilisation = this->Utilisation(*candidate, now);
-      least = any ? std::min(least, utilisation) : utilisation;
-      any = true;
-    }
-  }
-  return least;
-}
-
-std::size_t InstancePlacer::UsableInstances(std::string_view service) const {
-  const auto found = this->services.find(service);
-  if (found == this->services.end()) {
-    return 0;
-  }
-  const TimePoint now = this->clock.Now();
-  return static_cast<std::size_t>(
-      std::count_if(found->second.begin(), found->second.end(),
-                    [&](const auto& candidate) { return this->IsUsable(*candidate, now); }));
-}
-
 void InstancePlacer::OnInstance(const UpstreamInstance& instance) {
   const auto service = this->service_of.find(instance.name);
   if (service != this->service_of.end() && service->second != instance.service) {
--- a/masticpin/routing/instance_placer.h
+++ b/masticpin/routing/instance_placer.h
@@ -76,12 +76,6 @@
   /// The connection to the node has ended. A node that was leaving may start again soon.
   void OnNodeClosed(std::string_view name);
 
-  /// Lowest utilisation among the instances of `service` that may be used; 0 if none is known.
-  double LeastUtilisation(std::string_view service) const;
-
-  /// Number of instances of `service` that may be used.
-  std::size_t UsableInstances(std::string_view service) const;
-
   void OnInstance(const UpstreamInstance& instance) override;
   void OnInstanceRemoved(std::string_view name) override;
 
--- a/sidecar/frame_stream.h
+++ b/sidecar/frame_stream.h
@@ -27,9 +27,6 @@
 
   void Send(const wire::PeerFrame& frame);
 
-  /// Bytes that wait to be sent.
-  std::size_t PendingBytes() const { return this->pending.size() + this->output.size(); }
-
   /// Closes the connection without a callback.
   void Close();
 
--- a/sidecar/http_exchange.h
+++ b/sidecar/http_exchange.h
@@ -27,8 +27,6 @@
   /// The observer, if any, must outlive the exchange or be replaced by nullptr.
   void SetObserver(CallerObserver* new_observer) { this->observer = new_observer; }
 
-  bool IsCallerGone() const { return this->session == nullptr; }
-
  private:
   friend class HttpSession;
 
