Test the limiter with published slots and the wait bound of a request

Change: tests that the limit follows published slots, ignores response times, falls for refusals and comes back, and that a request with a wait bound of its own is not refused with the others.

--- a/masticpin/admission/admission_controller_test.cc
+++ b/masticpin/admission/admission_controller_test.cc
@@ -528,5 +528,22 @@
   operations.Finish();
 }
 
+// Guards against calls of a request in progress that are refused as early as new requests: the work
+// that was done for them would be lost.
+TEST_F(AdmissionControllerTest, RequestMayWaitLongerThanTheSettingsSay) {
+  RecordedRequest& running = this->Offer(5);
+  ASSERT_EQ(running.admitted, 1);
+  RecordedRequest& ordinary = this->Offer(5, seconds(5));
+  RecordedRequest& patient = this->Make(5, seconds(5));
+  patient.wait_bound = milliseconds(400);
+  this->controller.Offer(patient);
+  this->clock.Advance(milliseconds(150));
+  EXPECT_EQ(ordinary.refused, 1);
+  EXPECT_EQ(patient.refused, 0);
+  this->clock.Advance(milliseconds(300));
+  EXPECT_EQ(patient.refused, 1);
+  EXPECT_EQ(patient.refusal, ErrorKind::kOverloaded);
+}
+
 }  // namespace
 }  // namespace masticpin
--- a/masticpin/admission/concurrency_limiter_test.cc
+++ b/masticpin/admission/concurrency_limiter_test.cc
@@ -147,5 +147,53 @@
   }
 }
 
+LimiterSettings PublishedSlots() {
+  LimiterSettings settings;
+  settings.initial_share = 1;
+  settings.use_latency = false;
+  return settings;
+}
+
+// Guards against published slots that stay unused after a start, or after the registry tells them.
+TEST(PublishedSlotsTest, LimitStartsAtTheCeilingAndFollowsIt) {
+  ConcurrencyLimiter limiter(PublishedSlots(), 15);
+  EXPECT_EQ(limiter.Limit(), 15U);
+  limiter.SetCeiling(68);
+  EXPECT_EQ(limiter.Limit(), 68U);
+  limiter.SetCeiling(12);
+  EXPECT_EQ(limiter.Limit(), 12U);
+  limiter.SetCeiling(12);
+  limiter.Restart();
+  EXPECT_EQ(limiter.Limit(), 12U);
+}
+
+// Guards against a service whose limit falls because a service that it calls is slow.
+TEST(PublishedSlotsTest, ResponseTimesDoNotLowerTheLimit) {
+  ConcurrencyLimiter limiter(PublishedSlots(), 40);
+  TimePoint now{std::chrono::seconds(1)};
+  for (int i = 0; i < 5000; ++i) {
+    now += milliseconds(1);
+    limiter.OnSuccess(now, i < 1000 ? milliseconds(20) : milliseconds(2000), 40);
+  }
+  EXPECT_EQ(limiter.Limit(), 40U);
+}
+
+// Guards against a limit that a published ceiling holds up although the upstream refuses.
+TEST(PublishedSlotsTest, RefusalsLowerTheLimitAndItComesBack) {
+  ConcurrencyLimiter limiter(PublishedSlots(), 40);
+  TimePoint now{std::chrono::seconds(1)};
+  limiter.OnShed(now);
+  const std::uint32_t lowered = limiter.Limit();
+  EXPECT_LT(lowered, 40U);
+  // A new ceiling does not end the caution.
+  limiter.SetCeiling(60);
+  EXPECT_EQ(limiter.Limit(), lowered);
+  for (int i = 0; i < 2000; ++i) {
+    now += milliseconds(1);
+    limiter.OnSuccess(now, milliseconds(20), limiter.Limit());
+  }
+  EXPECT_EQ(limiter.Limit(), 60U);
+}
+
 }  // namespace
 }  // namespace masticpin
