--- a/sidecar/http_exchange.h
+++ b/sidecar/http_exchange.h
@@ -22,7 +22,7 @@
   TimePoint ArrivedAt() const { return this->arrived_at; }
 
   /// Answers the request; called at most once. Does nothing if the caller has left.
-  void Respond(CallerReply reply);
+  void Respond(const CallerReply& reply);
 
   /// The observer, if any, must outlive the exchange or be replaced by nullptr.
   void SetObserver(CallerObserver* new_observer) { this->observer = new_observer; }
--- a/sidecar/http_session.cc
+++ b/sidecar/http_session.cc
@@ -209,7 +209,7 @@
   exchange->Respond(CallerReply{status, std::string(reason), "", ""});
 }
 
-void HttpSession::OnResponse(HttpExchange& exchange, CallerReply reply) {
+void HttpSession::OnResponse(HttpExchange& exchange, const CallerReply& reply) {
   const bool behind_others = this->exchanges.size() > 1;
   const bool close = !exchange.request.keep_alive ||
                      (this->handler.IsDraining() && !behind_others && this->input.empty());
@@ -293,13 +293,13 @@
 HttpExchange::HttpExchange(HttpSession& session, HttpRequest request, TimePoint arrived_at)
     : session(&session), request(std::move(request)), arrived_at(arrived_at) {}
 
-void HttpExchange::Respond(CallerReply reply) {
+void HttpExchange::Respond(const CallerReply& reply) {
   if (this->answered || this->session == nullptr) {
     return;
   }
   this->answered = true;
   this->observer = nullptr;
-  this->session->OnResponse(*this, std::move(reply));
+  this->session->OnResponse(*this, reply);
 }
 
 }  // namespace masticpin
--- a/sidecar/origin_request.cc
+++ b/sidecar/origin_request.cc
@@ -365,7 +365,7 @@
     this->refused_for_load = true;
   }
   this->ReportToParent(true);
-  this->Finish(std::move(reply));
+  this->Finish(reply);
 }
 
 void OriginRequest::ReportToParent(bool failed) const {
@@ -379,7 +379,7 @@
   parent->chain_refused |= failed && this->refused_for_load;
 }
 
-void OriginRequest::Finish(CallerReply reply) {
+void OriginRequest::Finish(const CallerReply& reply) {
   if (this->finished) {
     return;
   }
@@ -395,7 +395,7 @@
                   {{"status", std::to_string(reply.status)}})
       .Increment();
   const Ref<OriginRequest> keep = std::move(this->self);
-  this->exchange->Respond(std::move(reply));
+  this->exchange->Respond(reply);
 }
 
 void OriginRequest::OnCallerGone() {
--- a/sidecar/origin_request.h
+++ b/sidecar/origin_request.h
@@ -52,7 +52,7 @@
   void EndAttempt(PlacementOutcome outcome);
   void Answer(const wire::ExecutionReply& reply);
   void Refuse(ErrorKind kind, Duration retry_after, std::string_view reason);
-  void Finish(CallerReply reply);
+  void Finish(const CallerReply& reply);
   /// Tells the request that caused this one how it ended.
   void ReportToParent(bool failed) const;
   Duration TimeLeft() const;
--- a/sidecar/status_handler.cc
+++ b/sidecar/status_handler.cc
@@ -27,7 +27,7 @@
     reply.status = 404;
     reply.reason = "Not Found";
   }
-  exchange->Respond(std::move(reply));
+  exchange->Respond(reply);
 }
 
 }  // namespace masticpin
