Remove what the sidecar wrote twice or derived again

Change: TcpAcceptor serves both listeners, and a stop ends its pause after a failed accept(), which would have gone on trying a closed socket. The directory has an index by address, the origin keeps one counter for each status, and links use DeploymentKnowledge.

Behaviour stays as it is.

--- a/masticpin/routing/instance_directory.cc
+++ b/masticpin/routing/instance_directory.cc
@@ -1,6 +1,7 @@
 #include "masticpin/routing/instance_directory.h"
 
 #include <algorithm>
+#include <unordered_set>
 #include <utility>
 
 namespace masticpin {
@@ -38,7 +39,11 @@
     return;
   }
   UpstreamInstance& known_instance = this->instances[instance.name];
+  if (known_instance.revision != 0 && !(known_instance.address == instance.address)) {
+    this->names_by_address.erase(known_instance.address.ToString());
+  }
   known_instance = instance;
+  this->names_by_address[instance.address.ToString()] = instance.name;
   for (InstanceDirectoryObserver* observer : this->observers) {
     observer->OnInstance(known_instance);
   }
@@ -59,6 +64,7 @@
   for (InstanceDirectoryObserver* observer : this->observers) {
     observer->OnInstanceRemoved(name);
   }
+  this->names_by_address.erase(found->second.address.ToString());
   this->instances.erase(found);
 }
 
@@ -66,9 +72,9 @@
                                   std::uint64_t revision,
                                   TimePoint now) {
   this->known = true;
-  std::unordered_map<std::string_view, bool> listed;
+  std::unordered_set<std::string_view> listed;
   for (const UpstreamInstance& instance : list) {
-    listed.emplace(instance.name, true);
+    listed.insert(instance.name);
     this->Apply(instance);
   }
   if (this->AreMissingHeldBack(now)) {
@@ -116,12 +122,8 @@
 }
 
 const UpstreamInstance* InstanceDirectory::FindByAddress(const SocketAddress& address) const {
-  for (const auto& [name, instance] : this->instances) {
-    if (instance.address == address) {
-      return &instance;
-    }
-  }
-  return nullptr;
+  const auto found = this->names_by_address.find(address.ToString());
+  return found == this->names_by_address.end() ? nullptr : this->Find(found->second);
 }
 
 bool InstanceDirectory::TakeAddress(const UpstreamInstance& instance) {
--- a/masticpin/routing/instance_directory.h
+++ b/masticpin/routing/instance_directory.h
@@ -93,6 +93,8 @@
   const std::string own_service;
   const Settings settings;
   std::unordered_map<std::string, UpstreamInstance, StringHash, std::equal_to<>> instances;
+  /// Name of the instance at each address in text form; an address belongs to one instance.
+  std::unordered_map<std::string, std::string, StringHash, std::equal_to<>> names_by_address;
   /// Revision of the removal by name.
   std::unordered_map<std::string, std::uint64_t, StringHash, std::equal_to<>> removed;
   std::vector<InstanceDirectoryObserver*> observers;
--- a/masticpin/routing/instance_placer.cc
+++ b/masticpin/routing/instance_placer.cc
@@ -147,18 +147,18 @@
 }
 
 void InstancePlacer::OnInstance(const UpstreamInstance& instance) {
-  const auto service = this->service_of.find(instance.name);
-  if (service != this->service_of.end() && service->second != instance.service) {
+  Candidate* candidate = this->Find(instance.name);
+  if (candidate != nullptr && candidate->service != instance.service) {
     this->OnInstanceRemoved(instance.name);
+    candidate = nullptr;
   }
-  Candidate* candidate = this->Find(instance.name);
   if (candidate == nullptr) {
     auto added = std::make_unique<Candidate>();
     candidate = added.get();
     candidate->name = instance.name;
+    candidate->service = instance.service;
     this->services[instance.service].push_back(std::move(added));
     this->by_name[instance.name] = candidate;
-    this->service_of[instance.name] = instance.service;
   }
   if (candidate->incarnation != instance.incarnation) {
     // What was seen of the old process does not hold for the new one.
@@ -175,14 +175,14 @@
 }
 
 void InstancePlacer::OnInstanceRemoved(std::string_view name) {
-  const auto service = this->service_of.find(name);
-  if (service == this->service_of.end()) {
+  const auto found = this->by_name.find(name);
+  if (found == this->by_name.end()) {
     return;
   }
-  std::erase_if(this->services[service->second],
-                [&](const auto& candidate) { return candidate->name == name; });
-  this->by_name.erase(this->by_name.find(name));
-  this->service_of.erase(service);
+  const Candidate* removed = found->second;
+  this->by_name.erase(found);
+  std::erase_if(this->services[removed->service],
+                [removed](const auto& candidate) { return candidate.get() == removed; });
 }
 
 InstancePlacer::Candidate* InstancePlacer::Find(std::string_view name) {
--- a/masticpin/routing/instance_placer.h
+++ b/masticpin/routing/instance_placer.h
@@ -82,6 +82,7 @@
  private:
   struct Candidate {
     std::string name;
+    std::string service;
     std::string zone;
     std::uint32_t slots = 1;
     bool draining = false;
@@ -125,7 +126,6 @@
   const Settings settings;
   std::unordered_map<std::string, Candidates, StringHash, std::equal_to<>> services;
   std::unordered_map<std::string, Candidate*, StringHash, std::equal_to<>> by_name;
-  std::unordered_map<std::string, std::string, StringHash, std::equal_to<>> service_of;
 };
 
 }  // namespace masticpin
--- a/sidecar/http_listener.h
+++ b/sidecar/http_listener.h
@@ -3,17 +3,19 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/intrusive/list.hpp>
+#include <string>
 
 #include "masticpin/base/clock.h"
 #include "masticpin/base/socket_address.h"
 #include "masticpin/base/timer_service.h"
 #include "sidecar/http_handler.h"
 #include "sidecar/http_session.h"
+#include "sidecar/tcp_acceptor.h"
 
 namespace masticpin {
 
 /// Accepts callers at one address.
-class HttpListener : private TimerSubscriber {
+class HttpListener : private TcpAcceptorObserver {
  public:
   /// All arguments must outlive the listener.
   HttpListener(boost::asio::io_context& loop,
@@ -23,20 +25,18 @@
   ~HttpListener() override;
 
   /// Returns an error text if the address cannot be bound, or an empty text.
-  std::string Listen(const SocketAddress& address);
+  std::string Listen(const SocketAddress& address) { return this->acceptor.Listen(address); }
 
   /// Accepts no more connections.
-  void Stop();
+  void Stop() { this->acceptor.Stop(); }
 
   /// Whether a request is in progress or a response is not written yet.
   bool IsBusy() const;
 
  private:
-  void OnTimer(TimePoint now) override;
-  void Accept();
+  void OnConnection(boost::asio::ip::tcp::socket socket) override;
 
-  boost::asio::io_context& loop;
-  boost::asio::ip::tcp::acceptor acceptor;
+  TcpAcceptor acceptor;
   HttpHandler& handler;
   const Clock& clock;
   TimerService& timers;
--- a/sidecar/origin_request.cc
+++ b/sidecar/origin_request.cc
@@ -390,10 +390,7 @@
         .OnEnd(this->exchange->ArrivedAt(), this->chain_refused && reply.status >= 500);
   }
   this->origin.latency.Record(this->origin.clock.Now() - this->exchange->ArrivedAt());
-  this->origin.metrics
-      .GetCounter("masticpin_requests_total", "Requests that began on this machine.",
-                  {{"status", std::to_string(reply.status)}})
-      .Increment();
+  this->origin.CountAnswer(reply.status);
   const Ref<OriginRequest> keep = std::move(this->self);
   this->exchange->Respond(reply);
 }
--- a/sidecar/peer_link.cc
+++ b/sidecar/peer_link.cc
@@ -30,6 +30,7 @@
                    const Clock& clock,
                    TimerService& timers,
                    PeerLinkObserver& observer,
+                   const DeploymentKnowledge& knowledge,
                    std::string instance,
                    std::string service,
                    std::string own_service,
@@ -38,6 +39,7 @@
       clock(clock),
       timers(timers),
       observer(observer),
+      knowledge(knowledge),
       instance(std::move(instance)),
       service(std::move(service)),
       own_service(std::move(own_service)),
@@ -153,7 +155,7 @@
       break;
     case wire::PeerFrame::kCatalogRequest: {
       wire::PeerFrame answer;
-      this->observer.OnPeerCatalogRequest(frame.catalog_request(), *answer.mutable_catalog());
+      this->knowledge.FillCatalog(frame.catalog_request(), *answer.mutable_catalog());
       this->stream->Send(answer);
       break;
     }
--- a/sidecar/peer_link.h
+++ b/sidecar/peer_link.h
@@ -11,6 +11,7 @@
 #include "masticpin/base/ref_counted.h"
 #include "masticpin/base/socket_address.h"
 #include "masticpin/base/timer_service.h"
+#include "sidecar/deployment_knowledge.h"
 #include "sidecar/execution_target.h"
 #include "sidecar/frame_stream.h"
 #include "sidecar/peer_link_observer.h"
@@ -30,6 +31,7 @@
            const Clock& clock,
            TimerService& timers,
            PeerLinkObserver& observer,
+           const DeploymentKnowledge& knowledge,
            std::string instance,
            std::string service,
            std::string own_service,
@@ -60,6 +62,7 @@
   const Clock& clock;
   TimerService& timers;
   PeerLinkObserver& observer;
+  const DeploymentKnowledge& knowledge;
   const std::string instance;
   const std::string service;
   const std::string own_service;
--- a/sidecar/peer_link_observer.h
+++ b/sidecar/peer_link_observer.h
@@ -3,7 +3,6 @@
 #include <string_view>
 
 #include "masticpin/routing/load_report.h"
-#include "masticpin/wire/peer_frame.pb.h"
 
 namespace masticpin {
 
@@ -17,10 +16,6 @@
   /// The node is about to stop.
   virtual void OnPeerLeaving(std::string_view instance) = 0;
 
-  /// The node asks for what this one knows of the deployment.
-  virtual void OnPeerCatalogRequest(const wire::CatalogRequest& request,
-                                    wire::Catalog& catalog) = 0;
-
   /// The connection to the node has ended or could not be made.
   virtual void OnPeerClosed(std::string_view instance) = 0;
 };
--- a/sidecar/peer_listener.h
+++ b/sidecar/peer_listener.h
@@ -10,11 +10,12 @@
 #include "masticpin/base/timer_service.h"
 #include "sidecar/local_executor.h"
 #include "sidecar/peer_session.h"
+#include "sidecar/tcp_acceptor.h"
 
 namespace masticpin {
 
 /// Accepts other nodes.
-class PeerListener : private TimerSubscriber {
+class PeerListener : private TcpAcceptorObserver {
  public:
   /// All arguments must outlive the listener.
   PeerListener(boost::asio::io_context& loop,
@@ -26,7 +27,7 @@
   ~PeerListener() override;
 
   /// Returns an error text if the address cannot be bound, or an empty text.
-  std::string Listen(const SocketAddress& address);
+  std::string Listen(const SocketAddress& address) { return this->acceptor.Listen(address); }
 
   /// Asks some of the connected nodes for what they know of the deployment, if this one needs it.
   void AskForCatalog();
@@ -37,15 +38,12 @@
   bool IsBusy() const;
 
  private:
-  void OnTimer(TimePoint now) override;
-  void Accept();
+  void OnConnection(boost::asio::ip::tcp::socket socket) override;
 
-  boost::asio::ip::tcp::acceptor acceptor;
+  TcpAcceptor acceptor;
   LocalExecutor& executor;
   const std::string own_service;
   DeploymentKnowledge& knowledge;
-  const Clock& clock;
-  TimerService& timers;
   boost::intrusive::list<PeerSession, boost::intrusive::constant_time_size<false>> sessions;
   /// Calls of other nodes have numbers from here on; those of the own origin are smaller.
   std::uint64_t next_call = std::uint64_t{1} << 62;
--- a/sidecar/peer_network.cc
+++ b/sidecar/peer_network.cc
@@ -8,12 +8,14 @@
                          const Clock& clock,
                          TimerService& timers,
                          PeerLinkObserver& observer,
+                         const DeploymentKnowledge& knowledge,
                          std::string own_service,
                          std::uint16_t peer_port)
     : loop(loop),
       clock(clock),
       timers(timers),
       observer(observer),
+      knowledge(knowledge),
       own_service(std::move(own_service)),
       peer_port(peer_port) {}
 
@@ -32,7 +34,8 @@
   }
   if (link == nullptr) {
     link = Ref<PeerLink>(new PeerLink(this->loop, this->clock, this->timers, this->observer,
-                                      instance.name, instance.service, this->own_service, address));
+                                      this->knowledge, instance.name, instance.service,
+                                      this->own_service, address));
   }
   return link;
 }
--- a/sidecar/peer_network.h
+++ b/sidecar/peer_network.h
@@ -10,6 +10,7 @@
 #include "masticpin/base/ref_counted.h"
 #include "masticpin/base/timer_service.h"
 #include "masticpin/routing/instance_directory_observer.h"
+#include "sidecar/deployment_knowledge.h"
 #include "sidecar/peer_link.h"
 #include "sidecar/peer_link_observer.h"
 
@@ -24,6 +25,7 @@
               const Clock& clock,
               TimerService& timers,
               PeerLinkObserver& observer,
+              const DeploymentKnowledge& knowledge,
               std::string own_service,
               std::uint16_t peer_port);
   ~PeerNetwork() override;
@@ -39,6 +41,7 @@
   const Clock& clock;
   TimerService& timers;
   PeerLinkObserver& observer;
+  const DeploymentKnowledge& knowledge;
   const std::string own_service;
   const std::uint16_t peer_port;
   /// By name of the instance.
--- a/sidecar/request_origin.cc
+++ b/sidecar/request_origin.cc
@@ -69,4 +69,14 @@
   return this->throttles.try_emplace(route.name, this->clock).first->second;
 }
 
+void RequestOrigin::CountAnswer(int status) {
+  Counter*& counter = this->answers[status];
+  if (counter == nullptr) {
+    counter = &this->metrics.GetCounter("masticpin_requests_total",
+                                        "Requests that began on this machine.",
+                                        {{"status", std::to_string(status)}});
+  }
+  counter->Increment();
+}
+
 }  // namespace masticpin
--- a/sidecar/request_origin.h
+++ b/sidecar/request_origin.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <unordered_map>
 
 #include "masticpin/admission/entry_throttle.h"
 #include "masticpin/attempts/retry_allowance.h"
@@ -79,6 +80,8 @@
 
   RetryAllowance& AllowanceFor(const std::string& service);
   EntryThrottle& ThrottleFor(const Route& route);
+  /// Counts an answer. The registry of the metrics is asked once for each status only.
+  void CountAnswer(int status);
 
   Settings settings;
   const HttpDialect& dialect;
@@ -91,6 +94,7 @@
   LocalExecutor& executor;
   MetricsRegistry& metrics;
   LatencyHistogram& latency;
+  std::unordered_map<int, Counter*> answers;
 
   Ref<const RoutingConfiguration> configuration;
   /// By service and by route name. Routes come and go with the configuration; their throttles are
--- a/sidecar/sidecar_node.cc
+++ b/sidecar/sidecar_node.cc
@@ -60,7 +60,7 @@
       signals(loop, SIGTERM, SIGINT, SIGHUP),
       directory(settings.upstream_address, settings.service),
       placer(settings.zone, clock, random),
-      peers(loop, clock, timers, *this, settings.service, settings.peer_address.port),
+      peers(loop, clock, timers, *this, *this, settings.service, settings.peer_address.port),
       executor(loop, clock, timers, random, source.Dialect(), settings.upstream_address),
       origin(MakeOriginSettings(settings),
              source.Dialect(),
@@ -199,11 +199,6 @@
   this->placer.OnNodeClosed(instance);
 }
 
-void SidecarNode::OnPeerCatalogRequest(const wire::CatalogRequest& request,
-                                       wire::Catalog& catalog) {
-  this->FillCatalog(request, catalog);
-}
-
 void SidecarNode::FillCatalog(const wire::CatalogRequest& request, wire::Catalog& catalog) const {
   const RoutingConfiguration* configuration = this->origin.Configuration();
   if (configuration != nullptr && configuration->Version() > request.configuration_version()) {
--- a/sidecar/sidecar_node.h
+++ b/sidecar/sidecar_node.h
@@ -65,7 +65,6 @@
   void OnPeerLoad(std::string_view instance, const LoadReport& load) override;
   void OnPeerLeaving(std::string_view instance) override;
   void OnPeerClosed(std::string_view instance) override;
-  void OnPeerCatalogRequest(const wire::CatalogRequest& request, wire::Catalog& catalog) override;
   void FillCatalog(const wire::CatalogRequest& request, wire::Catalog& catalog) const override;
   void ApplyCatalog(const wire::Catalog& catalog) override;
   bool NeedsCatalog(wire::CatalogRequest& request) const override;
--- /dev/null
+++ b/sidecar/tcp_acceptor.cc
@@ -0,0 +1,62 @@
+#include "sidecar/tcp_acceptor.h"
+
+#include <spdlog/spdlog.h>
+
+#include <boost/asio/error.hpp>
+#include <utility>
+
+#include "sidecar/tcp_address.h"
+
+namespace masticpin {
+namespace {
+
+/// Pause after accept() failed, usually because the process has no free descriptor.
+constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
+
+/// Connections that wait to be accepted; all nodes of a large fleet connect at once after it was
+/// restarted. A full queue drops the opening packet, which is sent again only after a second.
+constexpr int kBacklog = 1024;
+
+}  // namespace
+
+TcpAcceptor::TcpAcceptor(boost::asio::io_context& loop,
+                         TcpAcceptorObserver& observer,
+                         const Clock& clock,
+                         TimerService& timers)
+    : acceptor(loop), observer(observer), clock(clock), timers(timers) {}
+
+std::string TcpAcceptor::Listen(const SocketAddress& address) {
+  const std::string error = OpenAcceptor(this->acceptor, address, kBacklog);
+  if (error.empty()) {
+    this->Accept();
+  }
+  return error;
+}
+
+void TcpAcceptor::Stop() {
+  this->timers.Cancel(*this);
+  boost::system::error_code ignored;  // Nothing is left to do with a socket that fails to close.
+  this->acceptor.close(ignored);
+}
+
+void TcpAcceptor::OnTimer(TimePoint) {
+  this->Accept();
+}
+
+void TcpAcceptor::Accept() {
+  this->acceptor.async_accept(
+      [this](const boost::system::error_code& error, boost::asio::ip::tcp::socket socket) {
+        if (error == boost::asio::error::operation_aborted) {
+          return;  // The acceptor is stopped or destroyed.
+        }
+        if (error) {
+          spdlog::warn("event=accept_failed reason=\"{}\"", error.message());
+          this->timers.Schedule(*this, this->clock.Now() + kAcceptPause);
+          return;
+        }
+        this->observer.OnConnection(std::move(socket));
+        this->Accept();
+      });
+}
+
+}  // namespace masticpin
