Make one table of settings serve both programs

Cause: the parser of the sidecar's settings was written after that of the node and repeated its table, its loop over sections and its page.

--- a/masticpin/settings/sidecar_settings_parser.cc
+++ b/masticpin/settings/sidecar_settings_parser.cc
@@ -1,42 +1,16 @@
 #include "masticpin/settings/sidecar_settings_parser.h"
 
-#include <algorithm>
 #include <array>
 #include <charconv>
 #include <utility>
 
 #include "masticpin/base/ini_document.h"
-#include "masticpin/base/ini_section_reader.h"
+#include "masticpin/settings/settings_table.h"
 
 namespace masticpin {
 namespace {
 
-// Stores a value; returns false if it is not allowed.
-using ApplyFunction = bool (*)(SidecarSettings&, std::string_view);
-
-struct SettingsKey {
-  std::string_view section;
-  std::string_view name;
-  // Nothing when the key is required.
-  std::optional<std::string_view> default_value;
-  // Completes the sentence "must be ...".
-  std::string_view allowed;
-  std::string_view doc;
-  ApplyFunction apply;
-};
-
-template <std::string SidecarSettings::*kMember>
-bool ApplyName(SidecarSettings& settings, std::string_view value) {
-  settings.*kMember = value;
-  return IsValidName(value);
-}
-
-template <SocketAddress SidecarSettings::*kMember>
-bool ApplyAddress(SidecarSettings& settings, std::string_view value) {
-  const std::optional<SocketAddress> address = SocketAddress::Parse(value);
-  settings.*kMember = address.value_or(SocketAddress());
-  return address.has_value();
-}
+using Key = SettingsKey<SidecarSettings>;
 
 // Reads a decimal number that is at least `min`.
 template <typename T>
@@ -86,46 +60,36 @@
   return true;
 }
 
-bool ApplyLogLevel(SidecarSettings& settings, std::string_view value) {
-  constexpr std::array<std::string_view, 7> kLevels = {"trace", "debug",    "info", "warning",
-                                                       "error", "critical", "off"};
-  settings.log_level = value;
-  return std::find(kLevels.begin(), kLevels.end(), value) != kLevels.end();
-}
-
 bool ApplyLogLines(SidecarSettings& settings, std::string_view value) {
   return ReadNumber<std::size_t>(value, 0, settings.log_lines_per_second);
 }
 
-constexpr std::string_view kAllowedAddresses =
-    "an IP address and a port such as 192.0.2.1:8080 or [2001:db8::1]:8080, without host names, "
-    "0.0.0.0, :: and port 0";
-
 // All keys of the settings file.
-const std::array<SettingsKey, 17> kKeys = {{
+const std::array<Key, 17> kKeys = {{
     {"node", "name", std::nullopt, kAllowedNames, "Name of the machine, for logs.",
-     &ApplyName<&SidecarSettings::name>},
+     &ApplyName<SidecarSettings, &SidecarSettings::name>},
     {"node", "service", std::nullopt, kAllowedNames, "Service of the upstream beside the node.",
-     &ApplyName<&SidecarSettings::service>},
+     &ApplyName<SidecarSettings, &SidecarSettings::service>},
     {"node", "zone", std::nullopt, kAllowedNames, "Availability zone of the machine.",
-     &ApplyName<&SidecarSettings::zone>},
+     &ApplyName<SidecarSettings, &SidecarSettings::zone>},
     {"node", "request_address", std::nullopt, kAllowedAddresses,
      "Address at which the node accepts callers and the upstream's own calls.",
-     &ApplyAddress<&SidecarSettings::request_address>},
+     &ApplyAddress<SidecarSettings, &SidecarSettings::request_address>},
     {"node", "peer_address", std::nullopt, kAllowedAddresses,
      "Address at which the node accepts other nodes. All nodes use the same port.",
-     &ApplyAddress<&SidecarSettings::peer_address>},
+     &ApplyAddress<SidecarSettings, &SidecarSettings::peer_address>},
     {"node", "ready_address", std::nullopt, kAllowedAddresses,
      "Address at which the platform asks whether the node is ready.",
-     &ApplyAddress<&SidecarSettings::ready_address>},
+     &ApplyAddress<SidecarSettings, &SidecarSettings::ready_address>},
     {"node", "metrics_address", std::nullopt, kAllowedAddresses,
      "Address at which metrics are served under `/metrics`.",
-     &ApplyAddress<&SidecarSettings::metrics_address>},
+     &ApplyAddress<SidecarSettings, &SidecarSettings::metrics_address>},
     {"node", "upstream_address", std::nullopt, kAllowedAddresses,
-     "Address of the upstream's HTTP server.", &ApplyAddress<&SidecarSettings::upstream_address>},
+     "Address of the upstream's HTTP server.",
+     &ApplyAddress<SidecarSettings, &SidecarSettings::upstream_address>},
     {"node", "registry_address", std::nullopt, kAllowedAddresses,
      "Address of the platform's store, which holds the configuration and the list of instances.",
-     &ApplyAddress<&SidecarSettings::registry_address>},
+     &ApplyAddress<SidecarSettings, &SidecarSettings::registry_address>},
     {"limits", "memory_mb", "256", "a whole number, at least 32",
      "Memory of the process in MB. Request bodies in progress take at most an eighth of it.",
      &ApplyMemory},
@@ -141,32 +105,12 @@
      &ApplyRetrySlack},
     {"retries", "window_seconds", "10", "a number from 1 to 3600",
      "Length of the window over which repeats are counted.", &ApplyRetryWindow},
-    {"log", "level", "info", "trace, debug, info, warning, error, critical or off",
-     "Least severe level that is logged.", &ApplyLogLevel},
+    {"log", "level", "info", kAllowedLogLevels, "Least severe level that is logged.",
+     &ApplyLogLevel<SidecarSettings>},
     {"log", "lines_per_second", "200", "a whole number",
      "Most log lines a second; further lines are counted and the count is logged.", &ApplyLogLines},
 }};
 
-constexpr std::array<std::string_view, 4> kSections = {"node", "limits", "retries", "log"};
-
-void ReadSection(const IniSection& section, IniProblemList& problems, SidecarSettings& settings) {
-  IniSectionReader reader(section, problems);
-  for (const SettingsKey& key : kKeys) {
-    if (key.section != section.name) {
-      continue;
-    }
-    const IniEntry* entry = reader.TakeEntry(
-        key.name, key.default_value ? IniPresence::kOptional : IniPresence::kRequired);
-    if (entry == nullptr) {
-      key.apply(settings, key.default_value.value_or(""));
-    } else if (!key.apply(settings, entry->value)) {
-      reader.Report(*entry,
-                    "must be " + std::string(key.allowed) + ", not " + QuoteValue(entry->value));
-    }
-  }
-  reader.ReportUnknownKeys();
-}
-
 // Two servers cannot share an address, and a node must not take itself for its upstream.
 void CheckAddresses(const SidecarSettings& settings, IniProblemList& problems) {
   const std::array<std::pair<std::string_view, const SocketAddress*>, 5> addresses = {{
@@ -194,21 +138,7 @@
   SidecarSettings settings;
   const std::optional<IniDocument> document = ReadIniDocument(text, kMaxTextBytes, problems);
   if (document) {
-    for (const IniSection& section : document->sections) {
-      if (std::find(kSections.begin(), kSections.end(), section.name) == kSections.end()) {
-        problems.Add(section.line, section.name, "",
-                     "unknown section; allowed sections: [node], [limits], [retries], [log]");
-      }
-    }
-    for (const std::string_view name : kSections) {
-      const auto& sections = document->sections;
-      const auto found =
-          std::find_if(sections.begin(), sections.end(),
-                       [&](const IniSection& section) { return section.name == name; });
-      // A section that is missing has no entries: its optional keys get their defaults.
-      const IniSection empty{std::string(name), 0, {}};
-      ReadSection(found == sections.end() ? empty : *found, problems, settings);
-    }
+    ReadSettings<SidecarSettings>(*document, kKeys, problems, settings);
   }
   if (problems.Empty()) {
     CheckAddresses(settings, problems);
@@ -222,26 +152,15 @@
 }
 
 std::string SidecarSettingsParser::Page() {
-  std::string page =
+  return SettingsPage<SidecarSettings>(
       "# Settings of a sidecar\n"
       "\n"
       "`masticpin-sidecar` reads its settings from an INI file. `masticpin-sidecar "
       "--print_settings_page`\n"
       "prints this page from the table that the program checks the file against. Lines that start "
       "with `;`\n"
-      "or `#` are comments. Unknown sections and keys are refused.\n";
-  std::string_view section;
-  for (const SettingsKey& key : kKeys) {
-    if (key.section != section) {
-      section = key.section;
-      page.append("\n## [").append(section).append(
-          "]\n\n| Key | Default | Allowed | Meaning |\n|---|---|---|---|\n");
-    }
-    page.append("| `").append(key.name).append("` | ");
-    page.append(key.default_value.value_or("required"));
-    page.append(" | ").append(key.allowed).append(" | ").append(key.doc).append(" |\n");
-  }
-  return page;
+      "or `#` are comments. Unknown sections and keys are refused.\n",
+      kKeys);
 }
 
 }  // namespace masticpin
