Bound the servers that a refused request reaches

Cause: after refusals by as many servers as the route's attempts, TakeRetry() allowed another send without naming where, and Send() chose any instance that was not the one before. With six servers that all refuse and attempts = 2, one request reached more than two of them. It ran on none, so no run was wrong, but the operator's bound on servers was exceeded.

Ruled out: counting the nodes that were asked instead of the servers that were reached. A node that refuses before its server is asked uses nothing of the bound.

Change: a request keeps the instances that it reached. Once their number is the route's attempts, further attempts choose among these only; the placer takes the allowed names as an argument.

Test: RefusedRequestReachesNoMoreServersThanItsRouteAllows fails before the change and passes after it; the other tests of masticpin_test (350) and masticpin_sidecar_test (36) pass.

--- a/masticpin/routing/instance_placer.cc
+++ b/masticpin/routing/instance_placer.cc
@@ -5,6 +5,13 @@
 #include <utility>
 
 namespace masticpin {
+namespace {
+
+bool Contains(std::span<const std::string> names, const std::string& name) {
+  return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+}  // namespace
 
 InstancePlacer::InstancePlacer(std::string own_zone,
                                const Clock& clock,
@@ -13,7 +20,8 @@
     : own_zone(std::move(own_zone)), clock(clock), random(random), settings(settings) {}
 
 std::string_view InstancePlacer::Choose(std::string_view service,
-                                        std::span<const std::string> excluded) {
+                                        std::span<const std::string> excluded,
+                                        std::span<const std::string> allowed) {
   const auto found = this->services.find(service);
   if (found == this->services.end()) {
     return {};
@@ -32,7 +40,8 @@
   const std::size_t start = count == 0 ? 0 : this->random.Below(count);
   for (std::size_t i = 0; i < count; ++i) {
     const Candidate& candidate = *candidates[(start + i) % count];
-    if (std::find(excluded.begin(), excluded.end(), candidate.name) != excluded.end()) {
+    if (Contains(excluded, candidate.name) ||
+        (!allowed.empty() && !Contains(allowed, candidate.name))) {
       continue;
     }
     if (!this->IsUsable(candidate, now)) {
--- a/masticpin/routing/instance_placer.h
+++ b/masticpin/routing/instance_placer.h
@@ -59,8 +59,11 @@
                  Settings settings = {});
 
   /// Returns the name of the instance of `service` to use, or an empty view if it has none. Names
-  /// in `excluded` are not chosen. The view is valid until the next change of the directory.
-  std::string_view Choose(std::string_view service, std::span<const std::string> excluded);
+  /// in `excluded` are not chosen; if `allowed` is not empty, no others than those in it are. The
+  /// view is valid until the next change of the directory.
+  std::string_view Choose(std::string_view service,
+                          std::span<const std::string> excluded,
+                          std::span<const std::string> allowed = {});
 
   /// A request was sent; each OnSent() is followed by one OnOutcome().
   void OnSent(std::string_view name);
--- a/sidecar/origin_request.cc
+++ b/sidecar/origin_request.cc
@@ -151,8 +151,22 @@
   }
 }
 
+std::string_view OriginRequest::ChooseInstance() const {
+  if (this->MayReachAnother()) {
+    return this->origin.placer.Choose(this->service, this->tried);
+  }
+  return this->origin.placer.Choose(this->service, this->tried, this->reached);
+}
+
+void OriginRequest::MarkReached() {
+  if (std::find(this->reached.begin(), this->reached.end(), this->instance) ==
+      this->reached.end()) {
+    this->reached.push_back(this->instance);
+  }
+}
+
 void OriginRequest::Send() {
-  const std::string_view chosen = this->origin.placer.Choose(this->service, this->tried);
+  const std::string_view chosen = this->ChooseInstance();
   const UpstreamInstance* found = chosen.empty() ? nullptr : this->origin.directory.Find(chosen);
   if (found == nullptr) {
     this->Refuse(ErrorKind::kNoInstance, Duration::zero(),
@@ -202,7 +216,7 @@
 void OriginRequest::OnExecutionReply(const wire::ExecutionReply& reply) {
   const Ref<OriginRequest> keep(this);
   if (reply.reached_instance()) {
-    ++this->reached;
+    this->MarkReached();
     this->inner_calls = reply.inner_calls();
   }
   if (reply.chain_refused()) {
@@ -239,7 +253,7 @@
 void OriginRequest::OnExecutionLost(ErrorKind kind, std::string_view reason) {
   const Ref<OriginRequest> keep(this);
   if (!IsNotRun(kind)) {
-    ++this->reached;
+    this->MarkReached();
     this->may_have_run = true;
   }
   this->EndAttempt(PlacementOutcome::kNodeLost);
@@ -277,16 +291,19 @@
       return false;
     }
     this->repeated = true;
-    if (this->tried.size() + 1 >= this->route->attempts) {
-      // No further instance may get the request. One that refused it may take it now; one that
-      // failed is likely to fail again.
-      return kind == ErrorKind::kUpstreamShed;
-    }
   } else if (!GetAnswer(kind).retry_elsewhere) {
     return false;
   }
-  this->tried.push_back(this->instance);
-  if (this->origin.placer.Choose(this->service, this->tried).empty()) {
+  if (!this->MayReachAnother() && kind == ErrorKind::kUpstreamShed) {
+    // No further instance may get the request, but one that refused it may take it now.
+    this->tried.clear();
+  } else if (!this->MayReachAnother() && !not_run) {
+    // An instance that failed is likely to fail again.
+    return false;
+  } else {
+    this->tried.push_back(this->instance);
+  }
+  if (this->ChooseInstance().empty()) {
     if (not_run) {
       return false;
     }
@@ -295,7 +312,7 @@
   }
   spdlog::info("event=request_repeated id={} service={} instance={} error={} sends={} reached={}",
                this->id, this->service, this->instance, GetAnswer(kind).name, this->sends,
-               this->reached);
+               this->reached.size());
   return true;
 }
 
--- a/sidecar/origin_request.h
+++ b/sidecar/origin_request.h
@@ -42,6 +42,12 @@
   void ReadContext();
   /// Draws the service among the destinations of the route.
   void DrawService();
+  /// Returns the instance for the next attempt, or an empty view if there is none.
+  std::string_view ChooseInstance() const;
+  /// Whether an instance that the request has not reached yet may get it.
+  bool MayReachAnother() const { return this->reached.size() < this->route->attempts; }
+  /// Notes that the request reached the instance of the present attempt.
+  void MarkReached();
   /// Sends the request to an instance, or answers it if there is none.
   void Send();
   wire::ExecutionRequest BuildRequest(std::uint64_t call_id) const;
@@ -85,9 +91,11 @@
   ExecutionTarget* target = nullptr;
   /// Keeps the connection alive while the request uses it; nullptr for the own instance.
   Ref<PeerLink> link;
+  /// Instances that the next attempt avoids.
   std::vector<std::string> tried;
-  /// Instances that the request reached, and sends of all kinds.
-  std::uint32_t reached = 0;
+  /// Instances that the request reached; their number is bounded by the route's attempts.
+  std::vector<std::string> reached;
+  /// Sends of all kinds, to the nodes beside the instances.
   std::uint32_t sends = 0;
   std::uint32_t overload_refusals = 0;
   /// Calls that the last attempt caused; another attempt is likely to cause as many.
--- a/sidecar/sidecar_recovery_test.cc
+++ b/sidecar/sidecar_recovery_test.cc
@@ -58,6 +58,30 @@
   }
 }
 
+// Guards against a request that is sent to more servers than its route allows: after refusals by
+// that many, each further send went to any other server.
+TEST_F(SidecarRecoveryTest, RefusedRequestReachesNoMoreServersThanItsRouteAllows) {
+  const auto refuse = [](Connection& connection, const std::string& request) {
+    connection.Send(TestFleet::Answer(request, "", "Test-Not-Executed: 1\r\n", "503 Full"));
+  };
+  constexpr std::size_t kServers = 6;
+  this->fleet.AddMachine("front", AnswerAll);
+  for (std::size_t i = 0; i < kServers; ++i) {
+    this->fleet.AddMachine("page", refuse);
+  }
+  this->fleet.AddRoute("r", "page", true).attempts = 2;
+  this->fleet.Start();
+  EXPECT_EQ(StatusOf(this->Ask(TestFleet::Request("1", "r"))), 503);
+  std::size_t servers = 0;
+  std::size_t sends = 0;
+  for (std::size_t machine = 1; machine <= kServers; ++machine) {
+    servers += this->Arrivals(machine) > 0 ? 1 : 0;
+    sends += this->Arrivals(machine);
+  }
+  EXPECT_EQ(servers, 2U);
+  EXPECT_GT(sends, servers) << "a server that refused may take the request later";
+}
+
 // Guards against an instance that is still named by its predecessor's entry: seen after a power
 // loss of all machines, when requests failed until the registry listed the new names.
 TEST_F(SidecarRecoveryTest, RestartedInstanceIsServedUnderItsNewName) {
