Stop node tests and nodes in an order that leaves no user of freed memory

Two processes that repeated NodeTest.* beside a loaded machine crashed 16 times in 144 runs, always there. A debugger showed the crash in an allocation of 64 bytes on the main thread, the size class of the nodes of NodeTest::runs: the fixture destroyed that map before its TestSite, and an attempt that outlived its request in GivingUpAtTheDeadlineDoesNotLowerTheLimit still counted its run in it.

Ruled out: a data race between threads of a node (ThreadSanitizer, four runs of all net tests, no report apart from libzmq, which is not instrumented), an overflow of the small stacks of connection threads, the client library's stop().

Found on the way, in the node itself: - WorkerPool::Stop() walked its list of threads while a running item could post another one, which grew the list; a thread started then was never joined and ended the process. - ~Node() left the transport running while the workers ended, so that an execution which arrived then ran without its executor. The executor now refuses new work first. - An inner call kept a pointer to its kind while a newer manifest replaced the one that owns it.

Change: TestSite is destroyed first; Stop() takes the list out and joins until it stays empty; HandleInner() holds the manifest.

NodeTest.ManifestIsReplacedDuringAnInnerCall gave a heap-use-after-free under AddressSanitizer before the change.

--- a/net/home.cc
+++ b/net/home.cc
@@ -171,8 +171,10 @@
 CallerResponse Home::HandleInner(NodeCore::Section& section, const CallerRequest& request) {
   // The call belongs to an execution that runs on this node's upstream.
   const Ref<ExecutionContext> context = this->inner_calls.Find(request.context);
+  // The reference keeps the kind alive while this thread waits and a newer manifest comes.
+  const Ref<const Manifest> present = this->manifest;
   const KindSpec* kind =
-      this->manifest == nullptr ? nullptr : this->manifest->FindKind(request.service, request.kind);
+      present == nullptr ? nullptr : present->FindKind(request.service, request.kind);
   if (context == nullptr) {
     return this->ErrorResponse(ErrorKind::kCancelledBeforeStart);
   }
--- a/net/node.cc
+++ b/net/node.cc
@@ -115,9 +115,17 @@
 }
 
 Node::~Node() {
-  // Threads first, so that nothing calls into the objects that are destroyed.
+  // Threads first, so that nothing calls into the objects that are destroyed. Peers may send until
+  // the transport ends, and an execution that is admitted after the workers have ended would run
+  // without its executor; from here on they are refused.
   this->front->Stop();
   this->platform.Stop();
+  {
+    const NodeCore::Section section(this->core);
+    if (this->executor != nullptr) {
+      this->executor->Drain();
+    }
+  }
   this->workers.Stop();
   if (this->transport != nullptr) {
     this->transport->Stop();
--- a/net/node_test.cc
+++ b/net/node_test.cc
@@ -69,6 +69,10 @@
       this->CallDues(request, response);
       return;
     }
+    if (request.path == "/dues/standing" && this->hold_inner) {
+      this->holding = true;
+      TestSite::WaitUntil([this] { return !this->hold_inner; });
+    }
     response.set_content(request.path + " " + action, "text/plain");
   }
 
@@ -96,13 +100,16 @@
     return count;
   }
 
-  std::unique_ptr<TestSite> site;
   std::mutex mutex;
   std::map<std::string, int> runs;
   std::atomic<bool> cut = false;
   std::atomic<bool> give_up = false;
   std::atomic<bool> hold = false;
+  std::atomic<bool> hold_inner = false;
   std::atomic<bool> holding = false;
+  /// Last, so that it is destroyed first: executions that outlive their request, such as an attempt
+  /// whose deadline has passed, still call HandleUpstream().
+  std::unique_ptr<TestSite> site;
 };
 
 // Guards against a path that is broken anywhere between caller, home, executor and inner call, and
@@ -235,6 +242,25 @@
   EXPECT_TRUE(all_at("5"));
 }
 
+// Guards against an inner call that uses the kind of a manifest which was replaced while the call
+// ran; AddressSanitizer reports it as a use after free.
+TEST_F(NodeTest, ManifestIsReplacedDuringAnInnerCall) {
+  // The home is another node than the executor, where nothing else keeps the old manifest.
+  const std::string key = this->site->NewKey("dues-1", "/ballot/vote");
+  this->hold_inner = true;
+  std::future<TestResponse> vote = std::async(
+      std::launch::async, [&] { return this->site->Send("dues-1", "/ballot/vote", key); });
+  ASSERT_TRUE(TestSite::WaitUntil([this] { return this->holding.load(); }));
+  this->site->Publish(7, ManifestText(7, 8));
+  ASSERT_TRUE(TestSite::WaitUntil([this] {
+    return std::all_of(kNames.begin(), kNames.end(), [this](const char* name) {
+      return this->site->Status(name, "configuration/version") == "7";
+    });
+  }));
+  this->hold_inner = false;
+  EXPECT_EQ(vote.get().outcome, "complete");
+}
+
 // Guards against a manifest with a mistake that comes into force, or that stops the node.
 TEST_F(NodeTest, InvalidManifestLeavesTheOneInForce) {
   this->site->Publish(6, "[manifest]\nversion = 6\nsite = test\nnonsense = 1\n");
--- a/net/worker_pool.cc
+++ b/net/worker_pool.cc
@@ -30,10 +30,21 @@
     this->stopping = true;
     this->item_ready.notify_all();
   }
-  for (std::thread& thread : this->threads) {
-    thread.join();
+  // A running item may post another one, for which a thread is started, so the list is taken out
+  // before the threads are joined and looked at again after that.
+  for (;;) {
+    std::vector<std::thread> ending;
+    {
+      const std::lock_guard lock(this->mutex);
+      ending.swap(this->threads);
+    }
+    if (ending.empty()) {
+      return;
+    }
+    for (std::thread& thread : ending) {
+      thread.join();
+    }
   }
-  this->threads.clear();
 }
 
 void WorkerPool::Run() {
--- a/net/worker_pool.h
+++ b/net/worker_pool.h
@@ -23,7 +23,7 @@
   /// Raises the bound; a lower one than before is ignored. Thread-safe.
   void SetMaxThreads(std::size_t count);
 
-  /// Runs what was posted, then ends the threads.
+  /// Runs what was posted, also by items that run meanwhile, then ends the threads.
   void Stop();
 
  private:
