Give each node test program an address of its own

Cause: two test programs that ran at the same time took each other's ports between the check for a free one and the start of a node: 3 of 200 runs in two processes failed with "Address already in use". Ruled out: ports of outgoing connections, which come from another range.

Change: nodes and fakes listen at an address of 127.0.0.0/8 that is derived from the process id.

--- a/net/http_examples_test.cc
+++ b/net/http_examples_test.cc
@@ -46,7 +46,7 @@
   }
 
   httplib::Result Order(const std::string& key) {
-    httplib::Client client("127.0.0.1", this->site->HttpPort("shop-1"));
+    httplib::Client client(TestSite::Address(), this->site->HttpPort("shop-1"));
     httplib::Headers headers;
     if (!key.empty()) {
       headers.emplace(kIdempotencyKeyHeader, key);
--- a/net/node_test.cc
+++ b/net/node_test.cc
@@ -77,7 +77,7 @@
   }
 
   void CallDues(const httplib::Request& request, httplib::Response& response) {
-    httplib::Client client("127.0.0.1",
+    httplib::Client client(TestSite::Address(),
                            this->site->HttpPort(request.get_header_value("X-Instance")));
     const httplib::Headers headers = {{kContextHeader, request.get_header_value(kContextHeader)}};
     const auto inner = client.Post("/dues/standing", headers, "", "text/plain");
@@ -195,7 +195,7 @@
   const std::string limit = this->site->Status("ballot-1", "load/limit");
   this->give_up = true;
   const std::string key = this->site->NewKey("ballot-1", "/ballot/tally");
-  httplib::Client client("127.0.0.1", this->site->HttpPort("ballot-1"));
+  httplib::Client client(TestSite::Address(), this->site->HttpPort("ballot-1"));
   const httplib::Headers headers = {{kIdempotencyKeyHeader, key}, {kDeadlineHeader, "300"}};
   ASSERT_TRUE(client.Post("/ballot/tally", headers, "", "text/plain"));
   EXPECT_EQ(this->site->Status("ballot-1", "load/limit"), limit);
@@ -275,7 +275,7 @@
   ASSERT_EQ(this->site->Send("ballot-1", "/ballot/vote", key).outcome, "complete");
   std::vector<std::string> traces;
   for (const char* name : kNames) {
-    httplib::Client client("127.0.0.1", this->site->HttpPort(name));
+    httplib::Client client(TestSite::Address(), this->site->HttpPort(name));
     const auto result = client.Get("/_masticpin/traces?filter=" + key);
     ASSERT_TRUE(result);
     const auto spans =
--- a/net/testing/test_site.cc
+++ b/net/testing/test_site.cc
@@ -17,18 +17,25 @@
 constexpr auto kWaitBound = std::chrono::seconds(30);
 constexpr auto kWaitStep = std::chrono::milliseconds(10);
 
-constexpr char kLoopback[] = "127.0.0.1";
+/// An address of the loopback network for this process alone: with a common one, two test programs
+/// that ran at the same time took each other's ports between the check and the start of a node.
+std::string OwnLoopback() {
+  const auto id = static_cast<unsigned>(::getpid());
+  // The second byte is never 0: programs listen at addresses of 127.0.0.0/16 by default.
+  return "127." + std::to_string(1 + (id >> 16 & 0x7f)) + "." + std::to_string(id >> 8 & 0xff) +
+         "." + std::to_string(id & 0xff);
+}
 
 /// Ports below the range that the system gives to outgoing connections: a port of that range can be
 /// taken between this check and the start of a node.
 int FreePort() {
-  static std::atomic<int> next = 10000 + static_cast<int>(::getpid() % 8000);
+  static std::atomic<int> next = 10000;
   for (;;) {
     const int port = next++;
     const int socket_fd = ::socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in address{};
     address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_addr.s_addr = ::inet_addr(TestSite::Address().c_str());
     address.sin_port = htons(static_cast<std::uint16_t>(port));
     const int bound = ::bind(socket_fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
     ::close(socket_fd);
@@ -39,7 +46,7 @@
 }
 
 SocketAddress Loopback(int port) {
-  return {kLoopback, static_cast<std::uint16_t>(port)};
+  return {TestSite::Address(), static_cast<std::uint16_t>(port)};
 }
 
 }  // namespace
@@ -47,7 +54,7 @@
 TestServer::TestServer(const Handler& handler) : server(HttpServerOptions()) {
   this->server.Get("/.*", handler);
   this->server.Post("/.*", handler);
-  this->port = this->server.Bind("127.0.0.1:0");
+  this->port = this->server.Bind(TestSite::Address() + ":0");
   this->thread = std::thread([this] { this->server.listen_after_bind(); });
 }
 
@@ -56,6 +63,11 @@
   this->thread.join();
 }
 
+const std::string& TestSite::Address() {
+  static const std::string address = OwnLoopback();
+  return address;
+}
+
 TestSite::TestSite(std::string manifest, Upstream upstream)
     : upstream(std::move(upstream)), manifest(std::move(manifest)) {
   // Creates the default logger before there are threads, as a program does when it sets its log
@@ -129,7 +141,7 @@
 TestResponse TestSite::Send(const std::string& name,
                             const std::string& path,
                             const std::string& key) {
-  httplib::Client client(kLoopback, this->HttpPort(name));
+  httplib::Client client(Address(), this->HttpPort(name));
   client.set_read_timeout(kWaitBound);
   httplib::Headers headers;
   if (!key.empty()) {
--- a/net/testing/test_site.h
+++ b/net/testing/test_site.h
@@ -66,7 +66,10 @@
   /// A value of the node's status, such as "configuration/version".
   std::string Status(const std::string& name, const std::string& pointer);
 
-  /// "ip:port" of the node, for the upstream's own calls.
+  /// IP address of the nodes and the fakes, which no other process uses.
+  static const std::string& Address();
+
+  /// HTTP port of the node, for the upstream's own calls.
   int HttpPort(const std::string& name) const { return this->instances.at(name)->http_port; }
 
   /// Waits until `predicate` holds; false only after a time that no healthy run needs.
