Explain a failed request from the logs with masticpinctl

Cause: the steps from a request's id to its cause in docs/OPERATIONS.md were searches by hand over the logs of all machines, and the line that names the cause is often of another id and process than the one that answered the caller.

Change: "masticpinctl explain ID FILE..." takes the lines of the request and of its calls, names the line where the failure began (of the deepest call, and of those the first), says what it means, and lists the nodes without room and the changes of state around it. Files are read twice, so that only the lines of the request and of its time are held.

--- a/ctl/control_program.cc
+++ b/ctl/control_program.cc
@@ -8,6 +8,7 @@
 #include <optional>
 #include <utility>
 
+#include "ctl/log_explainer.h"
 #include "ctl/node_client.h"
 #include "ctl/text_table.h"
 #include "masticpin/base/socket_address.h"
@@ -88,6 +89,10 @@
   if (command == "drain") {
     return rest.size() == 1 ? this->Drain(rest[0]) : this->UsageError("drain takes one address");
   }
+  if (command == "explain") {
+    return rest.size() >= 2 ? this->Explain(rest[0], {rest.begin() + 1, rest.end()})
+                            : this->UsageError("explain takes an id and at least one log file");
+  }
   return this->UsageError("unknown command \"" + command + "\"");
 }
 
@@ -100,6 +105,7 @@
          "  settings           prints the page of the node settings\n"
          "  status ADDRESS...  shows the status of nodes (IP:port of http_address)\n"
          "  drain ADDRESS      starts the graceful shutdown of a node\n"
+         "  explain ID FILE... finds the cause of a failed request in the logs of sidecars\n"
          "\n"
          "Flags:\n"
          "  --json             diff and status write JSON\n"
@@ -107,8 +113,10 @@
          "                     node (1 to 60000, default 2000)\n"
          "  --help, --version\n"
          "\n"
-         "Exit status: 0 ok; 1 a manifest is not valid or a node refused the request; 2 the\n"
-         "command line is wrong, a file cannot be read or a node cannot be reached.\n";
+         "Exit status: 0 ok; 1 a manifest is not valid, a node refused the request or no log "
+         "names\n"
+         "the request; 2 the command line is wrong, a file cannot be read or a node cannot be\n"
+         "reached.\n";
 }
 
 int ControlProgram::Check(const std::string& path) {
@@ -235,6 +243,39 @@
   return kExitOk;
 }
 
+int ControlProgram::Explain(const std::string& id, const std::vector<std::string>& paths) {
+  // Two passes, so that only the lines of the request and of its time are held.
+  LogExplainer explainer(id);
+  for (const bool context : {false, true}) {
+    for (const std::string& path : paths) {
+      std::ifstream file(path);
+      std::string line;
+      while (std::getline(file, line)) {
+        const std::optional<LogLine> parsed = LogLine::Parse(line, path);
+        if (!parsed.has_value()) {
+          continue;
+        }
+        if (context) {
+          explainer.AddContextLine(*parsed);
+        } else {
+          explainer.AddRequestLine(*parsed);
+        }
+      }
+      if (!file.eof()) {
+        *this->err << path << ": cannot be read: " << std::strerror(errno) << "\n";
+        return kExitUsage;
+      }
+    }
+    if (!explainer.Found()) {
+      *this->err << "no line names " << id
+                 << "; requests that are answered well at the first attempt have none\n";
+      return kExitProblem;
+    }
+  }
+  explainer.Write(*this->out);
+  return kExitOk;
+}
+
 Ref<const Manifest> ControlProgram::Load(const std::string& path, int& exit_status) {
   const std::optional<std::string> text = ReadFile(path);
   if (!text) {
--- a/ctl/control_program.h
+++ b/ctl/control_program.h
@@ -47,6 +47,7 @@
   int Settings();
   int Status(const std::vector<std::string>& addresses);
   int Drain(const std::string& address_text);
+  int Explain(const std::string& id, const std::vector<std::string>& paths);
 
   // Reads a manifest and writes its problems. Sets `exit_status` when it returns nullptr.
   Ref<const Manifest> Load(const std::string& path, int& exit_status);
--- a/ctl/control_program_test.cc
+++ b/ctl/control_program_test.cc
@@ -152,6 +152,16 @@
   EXPECT_EQ(this->Run({"drain", "127.0.0.1:1"}), kExitUsage);
 }
 
+// Guards against an explanation of nothing, and of logs that cannot be read.
+TEST_F(ControlProgramTest, ExplainReadsLogs) {
+  const std::filesystem::path log = this->directory / "a.log";
+  std::ofstream(log) << "1.5 side-1 event=request_failed id=a.b status=500 ms=3\n";
+  EXPECT_EQ(this->Run({"explain", "a", log}), kExitOk);
+  EXPECT_THAT(this->out.str(), HasSubstr("It began with the call a.b."));
+  EXPECT_EQ(this->Run({"explain", "b", log}), kExitProblem);
+  EXPECT_EQ(this->Run({"explain", "a", this->directory / "missing.log"}), kExitUsage);
+}
+
 // Guards against a wrong command line that exits as if it had succeeded.
 TEST_F(ControlProgramTest, WrongUsage) {
   for (const std::vector<std::string>& arguments : {std::vector<std::string>{},
@@ -162,6 +172,8 @@
                                                     {"status", "localhost:1"},
                                                     {"drain"},
                                                     {"drain", "x"},
+                                                    {"explain"},
+                                                    {"explain", "id"},
                                                     {"launch"}}) {
     EXPECT_EQ(this->Run(arguments), kExitUsage);
     EXPECT_THAT(this->err.str(), HasSubstr("Usage: "));
--- /dev/null
+++ b/ctl/log_explainer.cc
@@ -0,0 +1,185 @@
+#include "ctl/log_explainer.h"
+
+#include <algorithm>
+#include <array>
+#include <iomanip>
+#include <optional>
+#include <tuple>
+#include <utility>
+
+#include "masticpin/error/answer_table.h"
+
+namespace masticpin {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Time before and after the lines of the request in which the state of the nodes is shown. Load is
+/// reported each 2 s; a stop, or a registry that does not answer, acts for some seconds.
+constexpr milliseconds kBefore = seconds(5);
+constexpr milliseconds kAfter = seconds(2);
+
+/// Lines of one list; more do not help a reader.
+constexpr std::size_t kMaxLines = 20;
+
+constexpr std::array<std::string_view, 3> kFailures = {"request_refused", "request_failed",
+                                                       "upstream_call_failed"};
+
+/// Lines that say how a request ended for its caller.
+constexpr std::array<std::string_view, 3> kEnds = {"request_refused", "request_failed",
+                                                   "caller_gone"};
+
+constexpr std::array<std::string_view, 15> kStates = {"node_started",
+                                                      "node_stopping",
+                                                      "node_stopped",
+                                                      "peer_leaving",
+                                                      "peer_lost",
+                                                      "own_instance_found",
+                                                      "own_instance_leaving",
+                                                      "own_instance_replaced",
+                                                      "own_instance_in_service",
+                                                      "configuration_refused",
+                                                      "configuration_in_force",
+                                                      "registry_lost",
+                                                      "registry_regained",
+                                                      "watch_restarted",
+                                                      "settings_reloaded"};
+
+template <std::size_t kSize>
+bool Contains(const std::array<std::string_view, kSize>& names, std::string_view name) {
+  return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+const Answer* FindAnswer(std::string_view name) {
+  for (int number = 1; number <= kLastErrorKind; ++number) {
+    const Answer& answer = GetAnswer(static_cast<ErrorKind>(number));
+    if (answer.name == name) {
+      return &answer;
+    }
+  }
+  return nullptr;
+}
+
+// A node without a free slot, or whose instance loses requests.
+bool IsShortage(const LogLine& line) {
+  return line.Number("in_flight") >= line.Number("limit") || line.Number("queued") > 0 ||
+         line.Number("refused") > 0 || line.Number("broken") > 0;
+}
+
+void WriteLine(const LogLine& line, std::ostream& out) {
+  out << "  " << std::fixed << std::setprecision(3)
+      << static_cast<double>(line.time / milliseconds(1)) / 1000 << " " << line.source << " "
+      << line.text << "\n";
+}
+
+}  // namespace
+
+void LogExplainer::AddRequestLine(const LogLine& line) {
+  const std::string_view line_id = line.Field("id");
+  if (line_id.substr(0, this->id.size()) == this->id &&
+      (line_id.size() == this->id.size() || line_id[this->id.size()] == '.')) {
+    this->chain.push_back(line);
+  }
+}
+
+void LogExplainer::AddContextLine(const LogLine& line) {
+  const auto [first, last] =
+      std::minmax_element(this->chain.begin(), this->chain.end(),
+                          [](const LogLine& a, const LogLine& b) { return a.time < b.time; });
+  if (first == this->chain.end() || line.time < first->time - kBefore ||
+      line.time > last->time + kAfter) {
+    return;
+  }
+  const std::string_view event = line.Field("event");
+  if (event == "load" && IsShortage(line)) {
+    this->shortages.push_back(line);
+  } else if (event == "log_lines_dropped") {
+    this->dropped += static_cast<std::uint64_t>(line.Number("count"));
+  } else if (Contains(kStates, event)) {
+    this->states.push_back(line);
+  }
+}
+
+const LogLine& LogExplainer::Origin() const {
+  // Failures go before repeats: a repeat alone says that the request went on.
+  const auto key = [](const LogLine& line) {
+    return std::make_tuple(!Contains(kFailures, line.Field("event")),
+                           -static_cast<std::int64_t>(line.Field("id").size()), line.time);
+  };
+  return *std::min_element(this->chain.begin(), this->chain.end(),
+                           [&key](const LogLine& a, const LogLine& b) { return key(a) < key(b); });
+}
+
+void LogExplainer::WriteCause(const LogLine& origin, std::ostream& out) const {
+  const std::string_view event = origin.Field("event");
+  const std::string_view error = origin.Field("error");
+  const std::string_view service = origin.Field("service");
+  if (origin.Field("id") != this->id) {
+    out << "  It began with the call " << origin.Field("id") << ".\n";
+  }
+  if (const Answer* answer = FindAnswer(error); answer != nullptr) {
+    out << "  " << error << ": " << answer->text << " Outcome: " << OutcomeName(answer->outcome)
+        << ".\n";
+  }
+  if (event == "request_refused" && error == "overloaded" && origin.Number("sends") == 0) {
+    out << "  Refused at its entry (" << origin.Field("reason") << "): a service behind " << service
+        << " is short. See the nodes without room.\n";
+  } else if (event == "request_refused" && error == "overloaded") {
+    out << "  Sent to " << origin.Field("sends") << " nodes of " << service
+        << ", which had no room for importance " << origin.Field("importance") << ", rank "
+        << origin.Field("rank") << ". See the nodes without room.\n";
+  } else if (event == "request_refused" && error == "upstream_shed") {
+    out << "  The instances of " << service << " refused it themselves.\n";
+  } else if (event == "upstream_call_failed") {
+    out << "  Instance " << origin.Field("instance") << " had the request for "
+        << origin.Number("ran_us") / 1000 << " ms and gave no complete response ("
+        << origin.Field("reason") << "). It may have run.\n";
+  } else if (event == "request_failed") {
+    out << "  Instance " << origin.Field("instance") << " answered " << origin.Field("status")
+        << " after " << origin.Field("ms") << " ms.\n";
+    out << (origin.Field("chain_failed") == "true"
+                ? "  A call that it made had failed, but the logs hold no line of that call.\n"
+                : "  No call that it made had failed: the cause lies in this instance, or the time "
+                  "limit was short.\n");
+  }
+  const bool ended =
+      std::any_of(this->chain.begin(), this->chain.end(), [this](const LogLine& line) {
+        return line.Field("id") == this->id && Contains(kEnds, line.Field("event"));
+      });
+  if (!ended) {
+    out << "  No line says that " << this->id
+        << " itself failed: a repeat was answered, or lines are missing.\n";
+  }
+}
+
+void LogExplainer::WriteLines(std::string_view title,
+                              std::vector<LogLine> lines,
+                              std::ostream& out) {
+  std::stable_sort(lines.begin(), lines.end(),
+                   [](const LogLine& a, const LogLine& b) { return a.time < b.time; });
+  out << title << " (" << lines.size() << ")\n";
+  for (std::size_t i = 0; i < std::min(lines.size(), kMaxLines); ++i) {
+    WriteLine(lines[i], out);
+  }
+  if (lines.size() > kMaxLines) {
+    out << "  and " << lines.size() - kMaxLines << " more\n";
+  }
+}
+
+void LogExplainer::Write(std::ostream& out) const {
+  WriteLines("Lines of the request and its calls", this->chain, out);
+
+  const LogLine& origin = this->Origin();
+  out << "Cause\n";
+  WriteLine(origin, out);
+  this->WriteCause(origin, out);
+
+  WriteLines("Nodes without room, or with broken requests, at that time", this->shortages, out);
+  WriteLines("Changes of state at that time", this->states, out);
+  if (this->dropped > 0) {
+    out << "The nodes dropped " << this->dropped << " lines at that time; some may be missing.\n";
+  }
+}
+
+}  // namespace masticpin
