Do not call a request run that never reached its instance

Cause: masticpinctl explain said "it may have run" for every upstream_call_failed line, also for one whose connection was refused, which its own first line calls not run.

Change: the sentence follows the outcome of the error kind.

--- a/ctl/log_explainer.cc
+++ b/ctl/log_explainer.cc
@@ -118,7 +118,9 @@
   if (origin.Field("id") != this->id) {
     out << "  It began with the call " << origin.Field("id") << ".\n";
   }
-  if (const Answer* answer = FindAnswer(error); answer != nullptr) {
+  const Answer* answer = FindAnswer(error);
+  const bool not_run = answer != nullptr && answer->outcome == Outcome::kNotRun;
+  if (answer != nullptr) {
     out << "  " << error << ": " << answer->text << " Outcome: " << OutcomeName(answer->outcome)
         << ".\n";
   }
@@ -134,7 +136,7 @@
   } else if (event == "upstream_call_failed") {
     out << "  Instance " << origin.Field("instance") << " had the request for "
         << origin.Number("ran_us") / 1000 << " ms and gave no complete response ("
-        << origin.Field("reason") << "). It may have run.\n";
+        << origin.Field("reason") << ")." << (not_run ? "" : " It may have run.") << "\n";
   } else if (event == "request_failed") {
     out << "  Instance " << origin.Field("instance") << " answered " << origin.Field("status")
         << " after " << origin.Field("ms") << " ms.\n";
--- a/ctl/log_explainer_test.cc
+++ b/ctl/log_explainer_test.cc
@@ -88,6 +88,16 @@
   EXPECT_THAT(text, Not(HasSubstr("itself failed")));
 }
 
+// Guards against the claim that a request may have run on an instance that could not be reached.
+TEST(LogExplainerTest, UnreachableInstanceRanNothing) {
+  const std::string text =
+      Explain("92d8",
+              "19.0384 side-c-2 event=upstream_call_failed id=92d8 instance=i-a1 "
+              "error=upstream_unreachable reason=\"Connection refused\" ran_us=0\n");
+  EXPECT_THAT(text, HasSubstr("Outcome: not-run."));
+  EXPECT_THAT(text, Not(HasSubstr("may have run")));
+}
+
 // Guards against calling a request failed that was answered after a repeat.
 TEST(LogExplainerTest, RepeatAloneIsNoFailure) {
   const std::string text = Explain(
