--- a/sidecar/catalog_codec.cc
+++ b/sidecar/catalog_codec.cc
@@ -27,8 +27,9 @@
     encoded.set_attempts(route.attempts);
     encoded.set_urgency_rank(route.urgency_rank);
     for (const RouteDestination& destination : route.destinations) {
-      encoded.add_destinations()->set_service(destination.service);
-      encoded.mutable_destinations()->rbegin()->set_weight(destination.weight);
+      wire::RouteDestination& part = *encoded.add_destinations();
+      part.set_service(destination.service);
+      part.set_weight(destination.weight);
     }
   }
   for (const ServiceSettings& service : configuration.Services()) {
--- a/sidecar/execution_target.h
+++ b/sidecar/execution_target.h
@@ -14,7 +14,7 @@
 
   /// Starts the execution. `request.call()` must be unique in this process. The observer must live
   /// until it is called or the execution is cancelled.
-  virtual void Execute(const wire::ExecutionRequest& request, ExecutionObserver& observer) = 0;
+  virtual void Execute(wire::ExecutionRequest request, ExecutionObserver& observer) = 0;
 
   /// Ends the execution without a callback. A request that waits is not run any more; one that runs
   /// is broken off if it is idempotent.
--- a/sidecar/http_client_connection.cc
+++ b/sidecar/http_client_connection.cc
@@ -38,11 +38,9 @@
                                    HttpCallObserver& new_observer) {
   this->call = std::move(new_call);
   this->observer = &new_observer;
-  this->connecting = true;
   this->timers.Schedule(*this, this->clock.Now() + kConnectTimeout);
   this->socket.async_connect(ToEndpoint(address), [self = Ref<HttpClientConnection>(this)](
                                                       const boost::system::error_code& error) {
-    self->connecting = false;
     self->timers.Cancel(*self);
     if (self->closed) {
       return;
@@ -62,15 +60,6 @@
   this->StartCall();
 }
 
-void HttpClientConnection::Abort() {
-  this->observer = nullptr;
-  this->Finish();
-}
-
-void HttpClientConnection::Close() {
-  this->Finish();
-}
-
 void HttpClientConnection::OnTimer(TimePoint) {
   this->Fail(ErrorKind::kUpstreamUnreachable, "connect timed out");
 }
@@ -122,7 +111,7 @@
   }
   if (this->observer == nullptr) {
     // Nothing is expected on an idle connection but its end. Bytes would belong to no request.
-    this->Finish();
+    this->Close();
     return;
   }
   if (error) {
@@ -213,7 +202,7 @@
     this->Read();
     this->client.OnIdle(*this);
   } else {
-    this->Finish();
+    this->Close();
   }
   finished->OnResponse(std::move(response));
 }
@@ -221,14 +210,13 @@
 void HttpClientConnection::Fail(ErrorKind kind, std::string_view reason) {
   const Ref<HttpClientConnection> keep(this);
   HttpCallObserver* const finished = this->observer;
-  this->observer = nullptr;
-  this->Finish();
+  this->Close();
   if (finished != nullptr) {
     finished->OnCallFailed(kind, reason);
   }
 }
 
-void HttpClientConnection::Finish() {
+void HttpClientConnection::Close() {
   if (this->closed) {
     return;
   }
--- a/sidecar/http_client_connection.h
+++ b/sidecar/http_client_connection.h
@@ -41,15 +41,13 @@
   /// Sends a call on the open, idle connection.
   void Send(HttpCall call, HttpCallObserver& observer);
 
-  /// Ends the call without a callback and closes the connection, which cancels it at the server.
-  void Abort();
+  /// Closes the connection. A call in progress ends without a callback, which cancels it at the
+  /// server.
+  void Close();
 
   /// Since when the connection has been idle.
   TimePoint IdleSince() const { return this->idle_since; }
 
-  /// Closes an idle connection.
-  void Close();
-
   /// Takes the connection out of the list of idle ones, if it is there.
   void RemoveFromList() { this->HttpClientConnectionHook::unlink(); }
 
@@ -68,8 +66,6 @@
   void OnMessage();
   void OnWritten(const boost::system::error_code& error);
   void Fail(ErrorKind kind, std::string_view reason);
-  /// Ends the call, if there is one, and closes the connection.
-  void Finish();
 
   HttpClient& client;
   const Clock& clock;
@@ -80,7 +76,6 @@
   std::string input;
   HttpCall call;
   HttpCallObserver* observer = nullptr;
-  bool connecting = false;
   bool writing = false;
   bool reading = false;
   bool closed = false;
--- a/sidecar/http_message.cc
+++ b/sidecar/http_message.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <boost/beast/core/string.hpp>
 
 namespace masticpin {
 namespace {
@@ -12,23 +13,13 @@
     "Connection", "Keep-Alive", "Proxy-Connection",  "Proxy-Authenticate", "TE",
     "Trailer",    "Upgrade",    "Transfer-Encoding", "Content-Length",     "Expect"};
 
-char ToLower(char c) {
-  return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
-}
-
 bool Contains(const auto& names, std::string_view name) {
   return std::any_of(names.begin(), names.end(),
-                     [&](std::string_view other) { return EqualsIgnoreCase(other, name); });
+                     [&](std::string_view other) { return boost::beast::iequals(other, name); });
 }
 
 }  // namespace
 
-bool EqualsIgnoreCase(std::string_view a, std::string_view b) {
-  return a.size() == b.size() && std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) {
-           return ToLower(x) == ToLower(y);
-         });
-}
-
 HttpFields::HttpFields(const boost::beast::http::fields& fields) {
   for (const auto& field : fields) {
     this->fields.push_back(HttpField{std::string(field.name_string()), std::string(field.value())});
@@ -37,7 +28,7 @@
 
 std::string_view HttpFields::Find(std::string_view name) const {
   for (const HttpField& field : this->fields) {
-    if (EqualsIgnoreCase(field.name, name)) {
+    if (boost::beast::iequals(field.name, name)) {
       return field.value;
     }
   }
@@ -57,7 +48,7 @@
 
 bool HttpFields::IsNamedByConnection(std::string_view name) const {
   for (const HttpField& field : this->fields) {
-    if (!EqualsIgnoreCase(field.name, "Connection")) {
+    if (!boost::beast::iequals(field.name, "Connection")) {
       continue;
     }
     std::string_view rest = field.value;
@@ -70,7 +61,7 @@
       while (!token.empty() && (token.back() == ' ' || token.back() == '\t')) {
         token.remove_suffix(1);
       }
-      if (EqualsIgnoreCase(token, name)) {
+      if (boost::beast::iequals(token, name)) {
         return true;
       }
       rest = comma == std::string_view::npos ? std::string_view() : rest.substr(comma + 1);
--- a/sidecar/http_message.h
+++ b/sidecar/http_message.h
@@ -9,9 +9,6 @@
 
 namespace masticpin {
 
-/// Compares header names without regard to case.
-bool EqualsIgnoreCase(std::string_view a, std::string_view b);
-
 /// The header fields of a message, in the order in which they arrived.
 class HttpFields {
  public:
--- a/sidecar/http_session.cc
+++ b/sidecar/http_session.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/string.hpp>
 #include <utility>
 
 namespace masticpin {
@@ -167,8 +168,7 @@
     }
     if (this->parser->is_header_done() && !this->continue_sent && !this->writing &&
         this->exchanges.empty() &&
-        EqualsIgnoreCase(std::string_view(this->parser->get()[http::field::expect]),
-                         "100-continue")) {
+        boost::beast::iequals(this->parser->get()[http::field::expect], "100-continue")) {
       this->continue_sent = true;
       boost::system::error_code ignored;  // A failed write shows at the next read.
       this->socket.write_some(boost::asio::buffer("HTTP/1.1 100 Continue\r\n\r\n", 25), ignored);
--- a/sidecar/local_execution.cc
+++ b/sidecar/local_execution.cc
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <utility>
 
 #include "sidecar/local_executor.h"
 #include "sidecar/peer_protocol.h"
@@ -37,16 +38,16 @@
 }  // namespace
 
 LocalExecution::LocalExecution(LocalExecutor& executor,
-                               const wire::ExecutionRequest& request,
+                               wire::ExecutionRequest new_request,
                                ExecutionObserver& observer)
-    : executor(executor), request(request), observer(&observer), arrived_at(executor.clock.Now()) {
-  this->priority.importance =
-      static_cast<std::uint8_t>(std::min<std::uint32_t>(request.importance(), kMaxImportance));
-  this->priority.rank = static_cast<std::uint16_t>(request.rank());
-  this->deadline = this->arrived_at + std::chrono::microseconds(request.remaining_us());
-  this->wait_bound = request.inner() ? kInnerWaitBound : kCallerWaitBound;
+    : executor(executor), request(std::move(new_request)), observer(&observer) {
+  this->priority.importance = static_cast<std::uint8_t>(
+      std::min<std::uint32_t>(this->request.importance(), kMaxImportance));
+  this->priority.rank = static_cast<std::uint16_t>(this->request.rank());
+  this->deadline = executor.clock.Now() + std::chrono::microseconds(this->request.remaining_us());
+  this->wait_bound = this->request.inner() ? kInnerWaitBound : kCallerWaitBound;
   this->running.priority = this->priority;
-  this->running.repeated = request.repeated();
+  this->running.repeated = this->request.repeated();
 }
 
 LocalExecution::~LocalExecution() = default;
@@ -65,8 +66,7 @@
   }
   // A run that must not be repeated goes on: breaking it off would leave its outcome open.
   if (this->is_running && this->request.idempotent()) {
-    ++this->executor.statistics.cancelled;
-    this->connection->Abort();
+    this->connection->Close();
     this->EndRun(Completion::kCancelled);
     this->ended = true;
     this->executor.OnEnded(*this);
@@ -77,17 +77,13 @@
   this->observer = nullptr;
   this->ended = true;
   if (this->is_running) {
-    this->connection->Abort();
+    this->connection->Close();
     this->EndRun(Completion::kCancelled);
   } else {
     this->executor.admission.Withdraw(*this);
   }
 }
 
-void LocalExecution::Refuse(ErrorKind kind, Duration retry_after) {
-  this->ReplyError(kind, false, retry_after);
-}
-
 void LocalExecution::OnAdmitted() {
   this->started_at = this->executor.clock.Now();
   this->is_running = true;
@@ -172,7 +168,6 @@
     return;
   }
 
-  ++this->executor.statistics.answered;
   this->EndRun(success ? Completion::kSuccess : Completion::kFailed);
   wire::ExecutionReply reply;
   reply.set_status(static_cast<std::uint32_t>(response.status));
@@ -201,7 +196,7 @@
 
 void LocalExecution::OnTimer(TimePoint) {
   const Ref<LocalExecution> keep(this);
-  this->connection->Abort();
+  this->connection->Close();
   ++this->executor.statistics.broken;
   this->EndRun(Completion::kFailed);
   this->ReplyError(ErrorKind::kDeadlineExceeded, true, Duration::zero());
--- a/sidecar/local_execution.h
+++ b/sidecar/local_execution.h
@@ -22,7 +22,7 @@
                        private TimerSubscriber {
  public:
   LocalExecution(LocalExecutor& executor,
-                 const wire::ExecutionRequest& request,
+                 wire::ExecutionRequest new_request,
                  ExecutionObserver& observer);
   ~LocalExecution() override;
 
@@ -37,12 +37,11 @@
   /// Ends it without a callback, also a run that must not be repeated. Used when the process ends.
   void Abandon();
 
-  /// Ends it with an error.
-  void Refuse(ErrorKind kind, Duration retry_after);
+  /// Ends it with an error: it was not run.
+  void OnRefused(ErrorKind kind, Duration retry_after) override;
 
  private:
   void OnAdmitted() override;
-  void OnRefused(ErrorKind kind, Duration retry_after) override;
   void OnResponse(HttpResponse response) override;
   void OnCallFailed(ErrorKind kind, std::string_view reason) override;
   void OnTimer(TimePoint now) override;
@@ -59,7 +58,6 @@
   ExecutionObserver* observer;
   RunningRequest running;
   Ref<HttpClientConnection> connection;
-  TimePoint arrived_at{};
   TimePoint started_at{};
   bool is_running = false;
   /// The request was answered 421 once and offered again.
--- a/sidecar/local_executor.cc
+++ b/sidecar/local_executor.cc
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <utility>
 
 #include "sidecar/local_execution.h"
 
@@ -58,12 +59,12 @@
   }
 }
 
-void LocalExecutor::Execute(const wire::ExecutionRequest& request, ExecutionObserver& observer) {
+void LocalExecutor::Execute(wire::ExecutionRequest request, ExecutionObserver& observer) {
   ++this->statistics.offered;
-  const Ref<LocalExecution> execution(new LocalExecution(*this, request, observer));
-  this->executions.emplace(request.call(), execution);
+  const Ref<LocalExecution> execution(new LocalExecution(*this, std::move(request), observer));
+  this->executions.emplace(execution->Call(), execution);
   if (this->instance_leaving || this->draining) {
-    execution->Refuse(ErrorKind::kDraining, Duration::zero());
+    execution->OnRefused(ErrorKind::kDraining, Duration::zero());
   } else {
     execution->Start();
   }
--- a/sidecar/local_executor.h
+++ b/sidecar/local_executor.h
@@ -34,7 +34,7 @@
                 SocketAddress upstream_address);
   ~LocalExecutor() override;
 
-  void Execute(const wire::ExecutionRequest& request, ExecutionObserver& observer) override;
+  void Execute(wire::ExecutionRequest request, ExecutionObserver& observer) override;
   void Cancel(std::uint64_t call) override;
 
   /// What the registry says about the own instance; nullptr if it does not list it. An instance
--- a/sidecar/local_executor_statistics.h
+++ b/sidecar/local_executor_statistics.h
@@ -9,15 +9,12 @@
   std::uint64_t offered = 0;
   /// Sent to the instance.
   std::uint64_t started = 0;
-  /// Responses that were passed on.
-  std::uint64_t answered = 0;
   /// Refused before they were sent.
   std::uint64_t refused = 0;
   /// Refused by the instance itself.
   std::uint64_t shed = 0;
   /// Ended without a complete response.
   std::uint64_t broken = 0;
-  std::uint64_t cancelled = 0;
 };
 
 }  // namespace masticpin
--- a/sidecar/origin_request.cc
+++ b/sidecar/origin_request.cc
@@ -186,8 +186,7 @@
   }
   // The attempt may end, and another one begin, within this call.
   const Ref<OriginRequest> keep(this);
-  const wire::ExecutionRequest request = this->BuildRequest(this->call);
-  this->target->Execute(request, *this);
+  this->target->Execute(this->BuildRequest(this->call), *this);
 }
 
 wire::ExecutionRequest OriginRequest::BuildRequest(std::uint64_t call_id) const {
--- a/sidecar/peer_link.cc
+++ b/sidecar/peer_link.cc
@@ -51,9 +51,10 @@
   }
 }
 
-void PeerLink::Execute(const wire::ExecutionRequest& request, ExecutionObserver& call_observer) {
+void PeerLink::Execute(wire::ExecutionRequest request, ExecutionObserver& call_observer) {
+  const std::uint64_t call = request.call();
   wire::PeerFrame frame;
-  *frame.mutable_request() = request;
+  *frame.mutable_request() = std::move(request);
   frame.mutable_request()->clear_caller_service();
   const TimePoint now = this->clock.Now();
   if (this->calls.empty()) {
@@ -61,7 +62,7 @@
     this->last_heard = now;
     this->asked_for_life = false;
   }
-  this->calls[request.call()] = &call_observer;
+  this->calls[call] = &call_observer;
   this->last_sent = now;
   switch (this->state) {
     case State::kClosed:
--- a/sidecar/peer_link.h
+++ b/sidecar/peer_link.h
@@ -38,7 +38,7 @@
            SocketAddress address);
   ~PeerLink() override;
 
-  void Execute(const wire::ExecutionRequest& request, ExecutionObserver& observer) override;
+  void Execute(wire::ExecutionRequest request, ExecutionObserver& observer) override;
   void Cancel(std::uint64_t call) override;
 
   /// Gives up the connection and all requests on it.
--- a/sidecar/peer_session.cc
+++ b/sidecar/peer_session.cc
@@ -118,7 +118,7 @@
   }
   request.set_call(call);
   request.set_caller_service(this->caller_service);
-  this->executor.Execute(request, observer);
+  this->executor.Execute(std::move(request), observer);
 }
 
 void PeerSession::Execution::OnExecutionReply(const wire::ExecutionReply& reply) {
--- a/sidecar/testing/scripted_server.cc
+++ b/sidecar/testing/scripted_server.cc
@@ -1,9 +1,9 @@
 #include "sidecar/testing/scripted_server.h"
 
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/string.hpp>
 #include <utility>
 
-#include "sidecar/http_message.h"
 #include "sidecar/tcp_address.h"
 
 namespace masticpin {
@@ -88,7 +88,7 @@
     const std::size_t colon = message.find(':', line);
     const std::size_t end = message.find("\r\n", line);
     if (colon != std::string::npos && colon < end &&
-        EqualsIgnoreCase(std::string_view(message).substr(line, colon - line), name)) {
+        boost::beast::iequals(std::string_view(message).substr(line, colon - line), name)) {
       const std::size_t value = message.find_first_not_of(' ', colon + 1);
       return message.substr(value, end - value);
     }
