Part the simulation of execution faults from its tests

Cause: execution_faults_test.cc had 769 lines with four jobs: events at random times, the simulated nodes and callers, the comparison of runs and answers, and the tests.

--- /dev/null
+++ b/masticpin/testing/execution_world.h
@@ -0,0 +1,591 @@
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "masticpin/execution/action_ledger.h"
+#include "masticpin/execution/execution_table.h"
+#include "masticpin/execution/home_dispatcher.h"
+#include "masticpin/testing/action_audit.h"
+#include "masticpin/testing/event_schedule.h"
+#include "masticpin/testing/execution_world_plan.h"
+
+namespace masticpin {
+
+/// Nodes, callers and a network with faults. Each node is home and executor.
+class ExecutionWorld : private EventSchedule {
+ public:
+  explicit ExecutionWorld(const ExecutionWorldPlan& plan) : EventSchedule(plan.seed), plan(plan) {
+    this->callers.resize(static_cast<std::size_t>(plan.actions));
+    for (int i = 0; i < kNodes; ++i) {
+      this->nodes[i].index = i;
+      this->Boot(i);
+    }
+  }
+
+  ActionTotals Run() {
+    const seconds load(240);
+    for (int i = 0; i < this->plan.actions; ++i) {
+      Caller& caller = this->callers[static_cast<std::size_t>(i)];
+      caller.action = i;
+      caller.idempotent = this->Chance(30);
+      this->After(this->Between(milliseconds(1), load), [this, &caller] { this->Send(caller); });
+    }
+    this->ScheduleFaults(load);
+    // The quiet time lets the latest duplicates arrive after every key has expired.
+    this->Until(load + seconds(300));
+    return this->audit.Check(this->plan.actions, [this](int action) {
+      return this->callers[static_cast<std::size_t>(action)].idempotent;
+    });
+  }
+
+ private:
+  using milliseconds = std::chrono::milliseconds;  // NOLINT(readability-identifier-naming)
+  using seconds = std::chrono::seconds;            // NOLINT(readability-identifier-naming)
+
+  static constexpr int kNodes = 4;
+  static constexpr std::uint32_t kAttempts = 4;
+  static constexpr std::uint32_t kCallerTries = 10;
+  static inline const ActionTerms kVote{.idempotent = false,
+                                        .attempts = kAttempts,
+                                        .caller_tries = kCallerTries};
+  static inline const ActionTerms kPage{.idempotent = true,
+                                        .attempts = kAttempts,
+                                        .caller_tries = kCallerTries};
+
+  struct Process;
+
+  // One call at a home that waits for the end of an action.
+  class Call : public LedgerWaiter {
+   public:
+    Call(ExecutionWorld& world, Process& process, WorldRequest request, int ingress)
+        : world(world), process(process), request(std::move(request)), ingress(ingress) {}
+
+    void OnFinished(LedgerEntry& /*entry*/, const ActionResult& result) override {
+      WorldResponse response{
+          .key = this->request.key, .error = result.error, .body = {}, .next_key = {}};
+      if (result.response) {
+        response.body = result.response->Message().body();
+      }
+      if (result.successor) {
+        response.next_key = result.successor->ToText();
+      }
+      this->world.Respond(this->process.index, this->ingress, this->request.action, response);
+      this->process.calls.remove_if([this](const auto& call) { return call.get() == this; });
+    }
+
+    ExecutionWorld& world;
+    Process& process;
+    WorldRequest request;
+    int ingress;
+  };
+
+  // One incarnation of a node.
+  struct Process : ExecutionSender, InstanceChooser, DispatchObserver {
+    Process(ExecutionWorld& world, int index, std::uint64_t incarnation)
+        : world(world),
+          index(index),
+          id{"node-" + std::to_string(index), incarnation},
+          mint(id, world.clock, world.random),
+          ledger({.capacity = world.plan.capacity}, mint, timers),
+          table({.capacity = world.plan.capacity}, incarnation, mint.Epochs(), timers),
+          ratio(world.clock),
+          dispatcher({}, incarnation, world.clock, timers, *this, *this, ratio, *this) {}
+
+    void SendExecute(const InstanceId& executor, const wire::ExecuteRequest& request) override {
+      const int to = ExecutionWorld::IndexOf(executor);
+      this->world.Transmit(this->index, to,
+                           [this_world = &this->world, from = this->id, to, request] {
+                             this_world->OnExecute(to, from, request);
+                           });
+    }
+    void SendCancel(const InstanceId& executor, const wire::CancelRequest& request) override {
+      const int to = ExecutionWorld::IndexOf(executor);
+      this->world.Transmit(this->index, to, [this_world = &this->world, to, key = request.key()] {
+        this_world->OnCancel(to, key);
+      });
+    }
+    std::optional<ExecutionTarget> Choose(std::string_view /*service*/,
+                                          std::span<const std::string> exclude,
+                                          Priority /*priority*/) override {
+      std::vector<ExecutionTarget> candidates;
+      for (const auto& [to, target] : this->view) {
+        if (this->world.Sees(this->index, to) &&
+            std::find(exclude.begin(), exclude.end(), target.instance.name) == exclude.end()) {
+          candidates.push_back(target);
+        }
+      }
+      if (candidates.empty()) {
+        return std::nullopt;
+      }
+      return candidates[this->world.random.Below(candidates.size())];
+    }
+    void OnDispatched(LedgerEntry& entry,
+                      const ActionResult& result,
+                      std::uint32_t /*attempts_used*/) override {
+      this->ledger.Finish(entry, result);
+    }
+
+    ExecutionWorld& world;
+    int index;
+    InstanceId id;
+    TimerQueue timers;
+    KeyMint mint;
+    ActionLedger ledger;
+    ExecutionTable table;
+    RetryRatio ratio;
+    std::list<std::unique_ptr<Call>> calls;
+    HomeDispatcher dispatcher;
+    // Instances as last heard of; may be out of date.
+    std::map<int, ExecutionTarget> view;
+    // Execution sequence numbers that wait for a slot.
+    std::set<std::uint64_t> queued;
+    // Keys that this owner has run, in mode kOwnerByHash.
+    std::set<std::string> owned;
+    bool draining = false;
+  };
+
+  struct Node {
+    int index = 0;
+    std::unique_ptr<Process> process;
+    TimePoint paused_until{};
+    // 0 or 1: the side of the partition.
+    int side = 0;
+  };
+
+  struct Caller {
+    int action = 0;
+    bool idempotent = false;
+    std::string key;
+    int tries = 0;
+    bool ended = false;
+    // Distinguishes the timer of the present try from older ones.
+    int timer = 0;
+  };
+
+  // --- time, chance, network
+
+  bool Fault(int per_mille) {
+    return this->plan.all_faults &&
+           this->random.Below(1000) < static_cast<std::uint64_t>(per_mille);
+  }
+  static int IndexOf(const InstanceId& instance) { return instance.name.back() - '0'; }
+  bool Sees(int from, int to) const { return this->nodes[from].side == this->nodes[to].side; }
+
+  void Until(Duration total) {
+    const TimePoint end = this->clock.Now() + total;
+    while (this->clock.Now() < end) {
+      this->clock.Advance(milliseconds(5));
+      this->RunDueEvents();
+      const TimePoint now = this->clock.Now();
+      for (Node& node : this->nodes) {
+        if (node.paused_until <= now) {
+          node.process->timers.RunDue(now);
+        }
+      }
+    }
+  }
+
+  // Delivers `call` at `to`, perhaps late, twice, in another order, or never.
+  void Transmit(int from, int to, const std::function<void()>& call) {
+    const int copies = this->Fault(80) ? 2 : 1;
+    for (int i = 0; i < copies; ++i) {
+      if (this->Fault(20)) {
+        continue;
+      }
+      Duration delay = this->Between(milliseconds(1), milliseconds(10));
+      if (this->Fault(60)) {
+        delay = this->Between(milliseconds(10), seconds(2));
+      }
+      if (this->Fault(3)) {
+        delay = this->Between(seconds(3), seconds(200));
+      }
+      this->After(delay, [this, from, to, call] { this->Deliver(from, to, call); });
+    }
+  }
+  void Deliver(int from, int to, const std::function<void()>& call) {
+    Node& node = this->nodes[to];
+    if (!this->Sees(from, to)) {
+      return;
+    }
+    if (node.paused_until > this->clock.Now()) {
+      // Sockets keep what arrives while the process does not run.
+      this->After(node.paused_until - this->clock.Now(),
+                  [this, from, to, call] { this->Deliver(from, to, call); });
+      return;
+    }
+    call();
+  }
+
+  // --- faults
+
+  void Boot(int index) {
+    auto process = std::make_unique<Process>(*this, index, this->random.Next());
+    for (Node& node : this->nodes) {
+      if (node.process) {
+        process->view[node.index] = this->TargetOf(node);
+        // A starting node announces itself; the announcement may be missed.
+        if (node.index != index && !this->Chance(30)) {
+          node.process->view[index] = {process->id, 1};
+        }
+      }
+    }
+    process->view[index] = {process->id, 1};
+    this->nodes[index].process = std::move(process);
+  }
+  ExecutionTarget TargetOf(const Node& node) const {
+    return {node.process->id, node.process->mint.Epochs().Current()};
+  }
+  // Each message tells the receiver the incarnation and the epoch of its sender.
+  void Hear(int to, int from) {
+    this->nodes[to].process->view[from] = this->TargetOf(this->nodes[from]);
+  }
+  void ScheduleFaults(Duration load) {
+    for (int i = 0; i < 30; ++i) {
+      this->After(this->Between(seconds(1), load), [this] {
+        for (Node& node : this->nodes) {
+          node.side = static_cast<int>(this->random.Below(2));
+        }
+        this->After(this->Between(seconds(1), seconds(15)), [this] {
+          for (Node& node : this->nodes) {
+            node.side = 0;
+          }
+        });
+      });
+    }
+    for (Duration at = seconds(3); at < load; at += seconds(3)) {
+      this->After(at, [this] {
+        for (const Node& a : this->nodes) {
+          for (const Node& b : this->nodes) {
+            if (this->Sees(a.index, b.index) && a.paused_until <= this->clock.Now()) {
+              this->Hear(b.index, a.index);
+            }
+          }
+        }
+      });
+    }
+    if (!this->plan.all_faults) {
+      return;
+    }
+    for (int i = 0; i < 60; ++i) {
+      const int index = static_cast<int>(this->random.Below(kNodes));
+      this->After(this->Between(seconds(1), load), [this, index] { this->Boot(index); });
+    }
+    for (int i = 0; i < 40; ++i) {
+      const int index = static_cast<int>(this->random.Below(kNodes));
+      // One pause in twenty is longer than the life of a key.
+      const Duration pause =
+          this->Chance(5) ? seconds(130) : this->Between(milliseconds(50), seconds(4));
+      this->After(this->Between(seconds(1), load), [this, index, pause] {
+        this->nodes[index].paused_until = this->clock.Now() + pause;
+      });
+    }
+    for (int i = 0; i < 6; ++i) {
+      const int index = static_cast<int>(this->random.Below(kNodes));
+      this->After(this->Between(seconds(1), load), [this, index] {
+        Process& process = *this->nodes[index].process;
+        process.draining = true;
+        process.ledger.Drain();
+        this->After(seconds(5), [this, index, incarnation = process.id.incarnation] {
+          if (this->nodes[index].process->id.incarnation == incarnation) {
+            this->Boot(index);
+          }
+        });
+      });
+    }
+  }
+
+  // --- callers
+
+  void Send(Caller& caller) {
+    if (caller.ended || ++caller.tries > static_cast<int>(kCallerTries)) {
+      caller.ended = true;
+      return;
+    }
+    const WorldRequest request{caller.action, caller.idempotent, caller.key};
+    const int copies = this->Fault(100) ? 2 : 1;
+    for (int i = 0; i < copies; ++i) {
+      // A caller reaches any node of its choice, on both sides of a partition.
+      const int to = static_cast<int>(this->random.Below(kNodes));
+      this->Transmit(to, to, [this, to, request] { this->OnRequest(to, request); });
+    }
+    // Most callers retry aggressively; some come back after the key has expired.
+    const Duration patience =
+        this->Fault(5) ? seconds(125) : this->Between(milliseconds(200), milliseconds(2500));
+    this->After(patience, [this, &caller, timer = ++caller.timer] {
+      if (caller.timer == timer) {
+        this->Send(caller);
+      }
+    });
+  }
+
+  void OnResponse(int action, const WorldResponse& response) {
+    Caller& caller = this->callers[static_cast<std::size_t>(action)];
+    if (response.error.has_value()) {
+      this->audit.RecordError(*response.error, response.key);
+    } else if (response.body != std::to_string(action)) {
+      this->audit.RecordWrongResponse();
+    }
+    // Late and duplicate responses to an earlier key change nothing.
+    if (caller.ended || response.key != caller.key) {
+      return;
+    }
+    if (!response.error.has_value()) {
+      this->audit.RecordComplete();
+      // A caller may repeat a request although its response arrived.
+      caller.ended = !this->Fault(50);
+      if (!caller.ended) {
+        this->Send(caller);
+        caller.ended = true;
+      }
+      return;
+    }
+    if (!IsNotRun(*response.error) || *response.error == ErrorKind::kAttemptsExhausted) {
+      // The outcome of a vote is unknown: no new key for it; the retry timer repeats it as it is.
+      caller.ended = !caller.idempotent && this->Chance(50);
+      return;
+    }
+    caller.key = response.next_key;
+    this->After(this->Between(milliseconds(5), milliseconds(200)),
+                [this, &caller] { this->Send(caller); });
+    ++caller.timer;
+  }
+
+  // --- homes
+
+  void OnRequest(int at, const WorldRequest& request) {
+    Process& process = *this->nodes[at].process;
+    if (this->plan.mode == ExecutionMode::kNaiveRetry) {
+      this->Naive(at, request, 0);
+      return;
+    }
+    if (request.key.empty()) {
+      this->Respond(at, at, request.action,
+                    {.key = {},
+                     .error = ErrorKind::kKeyRequired,
+                     .body = {},
+                     .next_key = process.mint.Mint().ToText()});
+      return;
+    }
+    if (this->plan.mode == ExecutionMode::kOwnerByHash) {
+      this->ForwardToOwner(at, request);
+      return;
+    }
+    const ActionKey key = ActionKey::Parse(request.key).value();
+    const int home = IndexOf(key.home);
+    if (home == at) {
+      this->OnHome(at, at, request, key);
+    } else {
+      this->Transmit(at, home,
+                     [this, home, at, request, key] { this->OnHome(home, at, request, key); });
+    }
+  }
+
+  void OnHome(int at, int ingress, const WorldRequest& request, const ActionKey& key) {
+    Process& process = *this->nodes[at].process;
+    process.calls.push_back(std::make_unique<Call>(*this, process, request, ingress));
+    BeginResult begin =
+        process.ledger.Begin(key, request.idempotent ? kPage : kVote, *process.calls.back());
+    switch (begin.verdict) {
+      case BeginVerdict::kStart: {
+        DispatchOrder order;
+        order.service = "ballot";
+        order.kind = request.idempotent ? "page" : "vote";
+        order.deadline = this->clock.Now() + seconds(1);
+        order.expected_time = milliseconds(20);
+        order.action = request.key;
+        order.request.set_body(std::to_string(request.action));
+        process.dispatcher.Dispatch(std::move(begin.entry), std::move(order));
+        return;
+      }
+      case BeginVerdict::kJoined:
+        return;
+      case BeginVerdict::kReplay:
+        this->Respond(at, ingress, request.action,
+                      {.key = request.key,
+                       .error = {},
+                       .body = begin.response->Message().body(),
+                       .next_key = {}});
+        break;
+      case BeginVerdict::kRefused:
+        this->Respond(at, ingress, request.action,
+                      {.key = request.key,
+                       .error = begin.error,
+                       .body = {},
+                       .next_key = begin.successor ? begin.successor->ToText() : ""});
+        break;
+    }
+    process.calls.pop_back();
+  }
+
+  void Respond(int home, int ingress, int action, const WorldResponse& response) {
+    this->Transmit(home, ingress, [this, ingress, action, response] {
+      this->Transmit(ingress, ingress,
+                     [this, action, response] { this->OnResponse(action, response); });
+    });
+  }
+
+  // --- executors
+
+  void OnExecute(int at, const InstanceId& home, const wire::ExecuteRequest& request) {
+    Process& process = *this->nodes[at].process;
+    this->Hear(at, IndexOf(home));
+    const AcceptResult accept = process.table.Accept(request.key());
+    switch (accept.verdict) {
+      case AcceptVerdict::kDuplicateRunning:
+        return;
+      case AcceptVerdict::kDuplicateDone:
+        if (accept.reply) {
+          this->Reply(at, home, accept.reply->Message());
+        }
+        return;
+      case AcceptVerdict::kRefused:
+        this->Reply(at, home, MakeReply(request, accept.error));
+        return;
+      case AcceptVerdict::kNew:
+        break;
+    }
+    if (process.draining) {
+      this->End(at, home, MakeReply(request, ErrorKind::kDraining));
+    } else if (this->Fault(100)) {
+      this->End(at, home, MakeReply(request, ErrorKind::kOverloaded));
+    } else if (this->Fault(100)) {
+      // Waits in the queue first, where a cancellation still ends it without a run.
+      process.queued.insert(request.key().sequence());
+      this->After(this->Between(milliseconds(5), seconds(2)),
+                  [this, at, home, request, incarnation = process.id.incarnation] {
+                    Process& now = *this->nodes[at].process;
+                    if (now.id.incarnation == incarnation &&
+                        now.queued.erase(request.key().sequence()) > 0) {
+                      this->Start(at, home, request);
+                    }
+                  });
+    } else {
+      this->Start(at, home, request);
+    }
+  }
+
+  void Start(int at, const InstanceId& home, const wire::ExecuteRequest& request) {
+    this->audit.RecordAttempt(request.action());
+    if (this->Fault(30)) {
+      wire::ExecuteReply shed = MakeReply(request, ErrorKind::kUpstreamShed);
+      shed.set_attempts_used(1);
+      this->End(at, home, shed);
+      return;
+    }
+    this->audit.RecordRun(std::stoi(request.request().body()), request.action());
+    wire::ExecuteReply reply;
+    if (this->Fault(30)) {
+      reply = MakeReply(request, ErrorKind::kUpstreamBroken);
+    } else {
+      *reply.mutable_key() = request.key();
+      reply.mutable_response()->set_status(200);
+      reply.mutable_response()->set_body(request.request().body());
+    }
+    reply.set_attempts_used(1);
+    const Duration duration = this->Fault(50) ? this->Between(milliseconds(500), seconds(3))
+                                              : this->Between(milliseconds(5), milliseconds(50));
+    this->After(duration,
+                [this, at, home, reply, incarnation = this->nodes[at].process->id.incarnation] {
+                  if (this->nodes[at].process->id.incarnation == incarnation) {
+                    this->End(at, home, reply);
+                  }
+                });
+  }
+
+  void OnCancel(int at, const wire::ExecutionKey& key) {
+    Process& process = *this->nodes[at].process;
+    if (process.table.Cancel(key) == CancelVerdict::kRunning &&
+        process.queued.erase(key.sequence()) > 0) {
+      wire::ExecuteRequest request;
+      *request.mutable_key() = key;
+      process.table.Finish(key, Ref<const StoredReply>(new StoredReply(
+                                    MakeReply(request, ErrorKind::kCancelledBeforeStart))));
+    }
+  }
+
+  static wire::ExecuteReply MakeReply(const wire::ExecuteRequest& request, ErrorKind error) {
+    wire::ExecuteReply reply;
+    *reply.mutable_key() = request.key();
+    reply.set_error(static_cast<std::uint32_t>(error));
+    return reply;
+  }
+
+  void End(int at, const InstanceId& home, const wire::ExecuteReply& reply) {
+    this->nodes[at].process->table.Finish(reply.key(),
+                                          Ref<const StoredReply>(new StoredReply(reply)));
+    this->Reply(at, home, reply);
+  }
+
+  void Reply(int at, const InstanceId& home, const wire::ExecuteReply& reply) {
+    const int to = IndexOf(home);
+    this->Transmit(at, to, [this, to, from = this->nodes[at].process->id, reply] {
+      this->Hear(to, IndexOf(from));
+      this->nodes[to].process->dispatcher.OnReply(from, reply);
+    });
+  }
+
+  // --- the naive versions
+
+  void Naive(int at, const WorldRequest& request, int tries) {
+    const int to = static_cast<int>(this->random.Below(kNodes));
+    auto answered = std::make_shared<bool>(false);
+    this->Transmit(at, to, [this, at, to, request, answered] {
+      if (this->Fault(100)) {
+        return;
+      }
+      this->audit.RecordRun(request.action, {});
+      const Duration duration = this->Fault(50) ? this->Between(milliseconds(500), seconds(3))
+                                                : this->Between(milliseconds(5), milliseconds(50));
+      this->After(duration, [this, at, to, request, answered] {
+        this->Transmit(to, at, [this, at, request, answered] {
+          *answered = true;
+          this->Respond(at, at, request.action,
+                        {.key = request.key,
+                         .error = {},
+                         .body = std::to_string(request.action),
+                         .next_key = {}});
+        });
+      });
+    });
+    this->After(milliseconds(400), [this, at, request, tries, answered] {
+      if (!*answered && tries < 2) {
+        this->Naive(at, request, tries + 1);
+      }
+    });
+  }
+
+  void ForwardToOwner(int at, const WorldRequest& request) {
+    std::vector<int> members;
+    for (const Node& node : this->nodes) {
+      if (this->Sees(at, node.index)) {
+        members.push_back(node.index);
+      }
+    }
+    const int owner = members[std::hash<std::string>{}(request.key) % members.size()];
+    this->Transmit(at, owner, [this, at, owner, request] {
+      if (this->nodes[owner].process->owned.insert(request.key).second) {
+        this->audit.RecordRun(request.action, request.key);
+      }
+      this->Respond(owner, at, request.action,
+                    {.key = request.key,
+                     .error = {},
+                     .body = std::to_string(request.action),
+                     .next_key = {}});
+    });
+  }
+
+  const ExecutionWorldPlan plan;
+  std::array<Node, kNodes> nodes;
+  std::vector<Caller> callers;
+  ActionAudit audit{kAttempts};
+};
+
+}  // namespace masticpin
--- /dev/null
+++ b/masticpin/testing/execution_world_plan.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "masticpin/error/error_kind.h"
+
+namespace masticpin {
+
+/// Who decides where an action runs.
+enum class ExecutionMode {
+  kOurs,
+  // Sends again, anywhere, on timeout; executors run all that arrives.
+  kNaiveRetry,
+  // The owner of a key is chosen by its hash over the members that a node sees. Each owner runs a
+  // key once.
+  kOwnerByHash,
+};
+
+struct ExecutionWorldPlan {
+  std::uint64_t seed = 0;
+  ExecutionMode mode = ExecutionMode::kOurs;
+  int actions = 5'000;
+  // Without `all_faults` only partitions occur.
+  bool all_faults = true;
+  std::size_t capacity = 131'072;
+};
+
+/// What a caller sends.
+struct WorldRequest {
+  int action = 0;
+  bool idempotent = false;
+  // Empty to ask for a key.
+  std::string key;
+};
+
+/// What a caller is told.
+struct WorldResponse {
+  std::string key;
+  std::optional<ErrorKind> error;
+  std::string body;
+  std::string next_key;
+};
+
+}  // namespace masticpin
