Show dated log lines with the date of their log

Cause: masticpinctl explain showed lines of a service with their seconds since 1970, which cannot be found again in the logs. Lines of a recording have seconds of their own and stay as they were.

Change: a line with a date is shown with the date and time as its log spells them.

--- a/ctl/log_explainer.cc
+++ b/ctl/log_explainer.cc
@@ -68,9 +68,13 @@
 }
 
 void WriteLine(const LogLine& line, std::ostream& out) {
-  out << "  " << std::fixed << std::setprecision(3)
-      << static_cast<double>(line.time / milliseconds(1)) / 1000 << " " << line.source << " "
-      << line.text << "\n";
+  out << "  ";
+  if (line.date.empty()) {
+    out << std::fixed << std::setprecision(3) << std::chrono::duration<double>(line.time).count();
+  } else {
+    out << line.date;
+  }
+  out << " " << line.source << " " << line.text << "\n";
 }
 
 }  // namespace
--- a/ctl/log_explainer_test.cc
+++ b/ctl/log_explainer_test.cc
@@ -131,6 +131,17 @@
   EXPECT_FALSE(LogLine::Parse("[2026-13-45 07:52:19.174] event=x", "x").has_value());
 }
 
+// Guards against times that cannot be found again in the logs of a service: lines with a date were
+// shown with their seconds since 1970.
+TEST(LogExplainerTest, DatesAreShownAsTheLogsSpellThem) {
+  const std::string text = Explain("77",
+                                   "time=2026-12-04T07:52:19.174Z level=info event=request_failed "
+                                   "id=77 status=500 ms=3\n"
+                                   "[2026-12-04 07:52:19.180] [info] event=node_stopping\n");
+  EXPECT_THAT(text, HasSubstr("  2026-12-04T07:52:19.174 file event=request_failed"));
+  EXPECT_THAT(text, HasSubstr("  2026-12-04 07:52:19.180 file event=node_stopping"));
+}
+
 TEST(LogExplainerTest, UnknownRequestIsNotFound) {
   EXPECT_EQ(Explain("7", "1.0 side event=request_failed id=77 status=500\n"), "");
 }
--- a/ctl/log_line.cc
+++ b/ctl/log_line.cc
@@ -74,6 +74,9 @@
   const std::string prefix(line.substr(0, begin));
   if (const auto date = ParseDate(prefix); date.has_value()) {
     parsed.time = *date;
+    // Behind "time=" or "[", up to the end of the milliseconds.
+    const std::size_t first = prefix.find_first_of("0123456789");
+    parsed.date = prefix.substr(first, prefix.find_first_of("Z]") - first);
     parsed.source = std::string(default_source);
   } else {
     char* end = nullptr;
--- a/ctl/log_line.h
+++ b/ctl/log_line.h
@@ -14,6 +14,8 @@
   /// Time of the event: since 1970 where the line has a date, else since the start of the
   /// recording.
   std::chrono::milliseconds time{};
+  /// The date and time as the line spells them; empty in a recording.
+  std::string date;
   /// The process that wrote the line.
   std::string source;
   /// The fields in their order; quotes around values are removed.
