--- a/sidecar/origin_request.cc
+++ b/sidecar/origin_request.cc
@@ -281,18 +281,12 @@
   if (!not_run && !this->route->idempotent) {
     return false;
   }
-  if (!not_run || kind == ErrorKind::kUpstreamShed) {
-    // The request reached an instance, so that another send counts against the shared budget.
-    if (!this->origin.AllowanceFor(this->service)
-             .TryRepeat(1 + this->inner_calls, this->origin.directory.Size(),
-                        this->priority.importance >= kLeastImportanceWithAllRepeats,
-                        this->inner ? this->priority.rank / 65536.0 : 1)) {
-      return false;
-    }
-    this->repeated = true;
-  } else if (!GetAnswer(kind).retry_elsewhere) {
+  const bool reached_instance = !not_run || kind == ErrorKind::kUpstreamShed;
+  if (!reached_instance && !GetAnswer(kind).retry_elsewhere) {
     return false;
   }
+
+  // Find where the next attempt may go, before the budget is charged for it.
   if (!this->MayReachAnother() && kind == ErrorKind::kUpstreamShed) {
     // No further instance may get the request, but one that refused it may take it now.
     this->tried.clear();
@@ -309,6 +303,17 @@
     // The only instance may still answer a second time.
     this->tried.clear();
   }
+
+  if (reached_instance) {
+    // The request reached an instance, so that another send counts against the shared budget.
+    if (!this->origin.AllowanceFor(this->service)
+             .TryRepeat(1 + this->inner_calls, this->origin.directory.Size(),
+                        this->priority.importance >= kLeastImportanceWithAllRepeats,
+                        this->inner ? this->priority.rank / 65536.0 : 1)) {
+      return false;
+    }
+    this->repeated = true;
+  }
   spdlog::info("event=request_repeated id={} service={} instance={} error={} sends={} reached={}",
                this->id, this->service, this->instance, GetAnswer(kind).name, this->sends,
                this->reached.size());
--- a/sidecar/sidecar_recovery_test.cc
+++ b/sidecar/sidecar_recovery_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 #include "sidecar/testing/sidecar_node_fixture.h"
 
 namespace masticpin {
@@ -82,6 +84,33 @@
   EXPECT_GT(sends, servers) << "a server that refused may take the request later";
 }
 
+// Guards against a retry budget that is used up by requests which are not sent again: the last
+// instance that their route allows has failed.
+TEST_F(SidecarRecoveryTest, FailureAtTheLastAllowedInstanceTakesNothingFromTheRetryBudget) {
+  std::set<std::string> seen;
+  const auto fail_first = [&](Connection& connection, const std::string& request) {
+    const bool fails = request.find("/once/") != std::string::npos ||
+                       seen.insert(FieldOf(request, "Test-Id")).second;
+    connection.Send(
+        TestFleet::Answer(request, "done", "", fails ? "500 Internal Server Error" : "200 OK"));
+  };
+  this->fleet.AddMachine("front", AnswerAll);
+  this->fleet.AddMachine("page", fail_first);
+  this->fleet.AddMachine("page", fail_first);
+  this->fleet.AddRoute("once", "page", true).attempts = 1;
+  this->fleet.AddRoute("twice", "page", true).attempts = 2;
+  this->fleet.Start();
+  // More requests than the budget of one node has repeats for.
+  constexpr int kRequests = 60;
+  for (int i = 0; i < kRequests; ++i) {
+    ASSERT_EQ(StatusOf(this->Ask(TestFleet::Request("once-" + std::to_string(i), "once"))), 500);
+  }
+  EXPECT_EQ(this->Arrivals(1) + this->Arrivals(2), static_cast<std::size_t>(kRequests));
+  for (int i = 0; i < 10; ++i) {
+    EXPECT_EQ(StatusOf(this->Ask(TestFleet::Request("twice-" + std::to_string(i), "twice"))), 200);
+  }
+}
+
 // Guards against an instance that is still named by its predecessor's entry: seen after a power
 // loss of all machines, when requests failed until the registry listed the new names.
 TEST_F(SidecarRecoveryTest, RestartedInstanceIsServedUnderItsNewName) {
