--- a/masticpin/attempts/retry_allowance.h
+++ b/masticpin/attempts/retry_allowance.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 
 #include "masticpin/base/clock.h"
 #include "masticpin/base/time.h"
@@ -9,26 +10,30 @@
 namespace masticpin {
 
 struct RetryAllowanceSettings {
-  /// Repeats that all nodes together may send to one service in any window, as a share of the
-  /// requests for it, and the constant part.
+  /// Repeats that may reach all instances of a service in any window, as a share of the requests
+  /// for it, and the constant part.
   double ratio = 0.2;
   double slack = 48;
   Duration window = std::chrono::seconds(10);
   /// Part of the shared budget that is handed out. The rest covers nodes that disagree about the
-  /// number of nodes, and requests that arrive later than they are counted.
+  /// number of instances, and requests that arrive later than they are counted.
   double used_part = 0.85;
   /// Part of that which less important requests may use up. The rest stays for the most important
   /// ones, which come at any time and would find nothing left.
   double less_important_part = 0.4;
-  /// Part that the important calls of the lowest rank may use up; it rises with the rank to 1. A
-  /// request whose calls must all succeed is worth no repeat unless each of them gets one, so that
-  /// a scarce budget has to go to the same requests everywhere.
+  /// Part that calls of other requests may use up. The rest stays for requests of callers: one
+  /// repeat saves such a request, while a chain of calls needs one for each call that fails.
+  double calls_part = 0.8;
+  /// Part that the important calls of the lowest rank may use up; it rises with the rank to
+  /// `calls_part`. A request whose calls must all succeed is worth no repeat unless each of them
+  /// gets one, so that a scarce budget has to go to the same requests everywhere.
   double lowest_rank_part = 0.2;
 };
 
-/// One node's part of a retry budget that all nodes share without a counter: its own requests for
-/// the service earn repeats, and the constant part is divided by the number of nodes. Not
-/// thread-safe.
+/// The part of a service's retry budget that belongs to one of its instances. The node beside the
+/// instance grants it to the nodes that want to repeat a request there: the requests that reach the
+/// instance earn repeats, and the constant part is divided by the number of instances. No counter
+/// is shared, and callers everywhere compete for the same repeats by importance. Not thread-safe.
 class RetryAllowance {
  public:
   using Settings = RetryAllowanceSettings;
@@ -36,15 +41,22 @@
   /// `clock` must outlive the allowance.
   RetryAllowance(const Clock& clock, Settings settings);
 
-  /// Counts one request that arrived for the service.
+  /// Counts the first arrival of a request at the instance.
   void OnRequest();
 
-  /// Counts `cost` repeats and returns true, or returns false if the node's part does not cover
-  /// them. `nodes` is the number of nodes that share the budget. `rank` is 0 to 1; 1 for a request
-  /// that is no call of another one.
-  bool TryRepeat(std::uint32_t cost, std::size_t nodes, bool important, double rank = 1);
+  /// Counts `cost` repeats and returns true, or returns false if the instance's part does not cover
+  /// them. `instances` is the number of instances of the service, 0 while it is not known, which
+  /// gives no constant part. `chain_rank` is the rank, 0 to 1, of the request that caused this
+  /// call; nothing for a request of a caller.
+  bool TryRepeat(std::uint32_t cost,
+                 std::size_t instances,
+                 bool important,
+                 std::optional<double> chain_rank = std::nullopt);
 
-  /// Counts one repeat that was not asked for: a call that a repeated request causes.
+  /// Repeats of the most important requests that are still covered.
+  std::uint32_t Left(std::size_t instances) const;
+
+  /// Counts one repeat that needs no grant: a call that a repeated request causes.
   void OnForcedRepeat() { ++this->CurrentSlot().repeats; }
 
  private:
@@ -58,12 +70,17 @@
     std::uint32_t repeats = 0;
   };
 
+  std::int64_t CurrentIndex() const;
   Slot& CurrentSlot();
+  /// Repeats of the present window.
+  std::uint64_t Repeats() const;
+  /// The instance's part of the shared budget.
+  double Shared(std::size_t instances) const;
   /// Requests of the window that ends with slot `last`.
   std::uint64_t RequestsUntil(std::int64_t last) const;
 
-  const Clock& clock;
-  const Settings settings;
+  const Clock* clock;
+  Settings settings;
   std::array<Slot, kSlots> slots{};
 };
 
--- a/masticpin/attempts/retry_allowance_test.cc
+++ b/masticpin/attempts/retry_allowance_test.cc
@@ -76,6 +76,36 @@
   EXPECT_GT(important, less_important);
 }
 
+// Guards against calls of chains that use up the budget before requests of callers get their part:
+// when all instances refused half of what they got, chains of ten calls took every repeat within
+// two seconds, and each second request of a caller failed for as long as the refusals went on.
+TEST(RetryAllowanceTest, CallsLeaveRepeatsToRequestsOfCallers) {
+  FakeClock clock;
+  RetryAllowance allowance(clock, {});
+  for (int i = 0; i < 1000; ++i) {
+    allowance.OnRequest();
+  }
+  constexpr double kHighestRank = 1;
+  int calls = 0;
+  while (allowance.TryRepeat(1, 13, true, kHighestRank)) {
+    ++calls;
+  }
+  int requests = 0;
+  while (allowance.TryRepeat(1, 13, true)) {
+    ++requests;
+  }
+  EXPECT_GT(calls, 100);
+  EXPECT_GT(requests, 30);
+}
+
+// Guards against a constant part that every node takes whole while it knows no instance.
+TEST(RetryAllowanceTest, UnknownNumberOfInstancesGivesNoConstantPart) {
+  FakeClock clock;
+  RetryAllowance allowance(clock, {});
+  EXPECT_FALSE(allowance.TryRepeat(1, 0, true));
+  EXPECT_TRUE(allowance.TryRepeat(1, 13, true));
+}
+
 // Guards against repeats deeper in the chain that nobody counts.
 TEST(RetryAllowanceTest, ForcedRepeatsUseTheAllowanceUp) {
   FakeClock clock;
--- a/masticpin/routing/instance_placer.cc
+++ b/masticpin/routing/instance_placer.cc
@@ -75,6 +75,25 @@
   return chosen == nullptr ? std::string_view() : std::string_view(chosen->name);
 }
 
+std::string_view InstancePlacer::MostRepeatsLeft(std::string_view service,
+                                                 std::string_view excluded) const {
+  const auto found = this->services.find(service);
+  if (found == this->services.end()) {
+    return {};
+  }
+  const TimePoint now = this->clock.Now();
+  std::uint32_t most = 0;
+  std::string_view chosen;
+  for (const auto& candidate : found->second) {
+    if (candidate->name != excluded && candidate->load_known && candidate->retry_at <= now &&
+        candidate->load.repeats_left > most) {
+      most = candidate->load.repeats_left;
+      chosen = candidate->name;
+    }
+  }
+  return chosen;
+}
+
 void InstancePlacer::OnSent(std::string_view name) {
   Candidate* candidate = this->Find(name);
   if (candidate != nullptr) {
@@ -155,6 +174,11 @@
   }
 }
 
+std::size_t InstancePlacer::CountInstances(std::string_view service) const {
+  const auto found = this->services.find(service);
+  return found == this->services.end() ? 0 : found->second.size();
+}
+
 void InstancePlacer::OnInstance(const UpstreamInstance& instance) {
   Candidate* candidate = this->Find(instance.name);
   if (candidate != nullptr && candidate->service != instance.service) {
--- a/masticpin/routing/instance_placer.h
+++ b/masticpin/routing/instance_placer.h
@@ -65,6 +65,11 @@
                           std::span<const std::string> excluded,
                           std::span<const std::string> allowed = {});
 
+  /// Returns the instance of `service`, other than `excluded`, whose part of the retry budget
+  /// covers most repeats, or an empty view if none is known to cover one. The view is valid until
+  /// the next change of the directory.
+  std::string_view MostRepeatsLeft(std::string_view service, std::string_view excluded) const;
+
   /// A request was sent; each OnSent() is followed by one OnOutcome().
   void OnSent(std::string_view name);
   void OnOutcome(std::string_view name, PlacementOutcome outcome);
@@ -79,6 +84,9 @@
   /// The connection to the node has ended. A node that was leaving may start again soon.
   void OnNodeClosed(std::string_view name);
 
+  /// Number of known instances of `service`, in any state.
+  std::size_t CountInstances(std::string_view service) const;
+
   void OnInstance(const UpstreamInstance& instance) override;
   void OnInstanceRemoved(std::string_view name) override;
 
--- a/sidecar/local_execution.cc
+++ b/sidecar/local_execution.cc
@@ -88,6 +88,13 @@
   this->started_at = this->executor.clock.Now();
   this->is_running = true;
   ++this->executor.statistics.started;
+  if (!this->request.repeated()) {
+    if (!this->misdirected) {
+      this->executor.allowance.OnRequest();
+    }
+  } else if (this->request.repeat_cost() == 0) {
+    this->executor.allowance.OnForcedRepeat();
+  }
   this->executor.running.Add(this->request.request_id(), this->running);
   this->executor.timers.Schedule(*this, this->deadline + kAnswerMargin);
   HttpCall call;
--- a/sidecar/local_executor.cc
+++ b/sidecar/local_executor.cc
@@ -22,6 +22,10 @@
 /// Ceiling until the registry has said how many slots the instance has.
 constexpr std::uint32_t kUnknownSlots = 16;
 
+/// Requests of this importance, those of the two most urgent kinds and their calls, may use all of
+/// their part of the retry budget.
+constexpr std::uint32_t kLeastImportanceWithAllRepeats = 6;
+
 /// Requests that wait at one node; each holds its message in memory.
 constexpr std::size_t kQueueCapacity = 2000;
 
@@ -44,12 +48,15 @@
                              TimerService& timers,
                              RandomSource& random,
                              const HttpDialect& dialect,
-                             SocketAddress upstream_address)
+                             SocketAddress upstream_address,
+                             const RetryAllowanceSettings& retries)
     : clock(clock),
       timers(timers),
       dialect(dialect),
       client(loop, clock, timers, std::move(upstream_address)),
-      admission(MakeAdmissionSettings(), clock, timers, random) {}
+      admission(MakeAdmissionSettings(), clock, timers, random),
+      retries(retries),
+      allowance(clock, retries) {}
 
 LocalExecutor::~LocalExecutor() {
   while (!this->executions.empty()) {
@@ -60,11 +67,19 @@
 }
 
 void LocalExecutor::Execute(wire::ExecutionRequest request, ExecutionObserver& observer) {
+  if (request.grant_only()) {
+    ReplyGrant(request, this->IsGranted(request), observer);
+    return;
+  }
   ++this->statistics.offered;
+  const bool refuses_all = this->instance_leaving || this->draining;
+  const bool granted = refuses_all || request.granted_elsewhere() || this->IsGranted(request);
   const Ref<LocalExecution> execution(new LocalExecution(*this, std::move(request), observer));
   this->executions.emplace(execution->Call(), execution);
-  if (this->instance_leaving || this->draining) {
+  if (refuses_all) {
     execution->OnRefused(ErrorKind::kDraining, Duration::zero());
+  } else if (!granted) {
+    execution->OnRefused(ErrorKind::kAttemptsExhausted, Duration::zero());
   } else {
     execution->Start();
   }
@@ -116,6 +131,38 @@
   this->instance_leaving = false;
 }
 
+void LocalExecutor::SetRetries(const RetryAllowanceSettings& new_retries) {
+  if (this->retries.ratio != new_retries.ratio || this->retries.slack != new_retries.slack ||
+      this->retries.window != new_retries.window) {
+    this->retries = new_retries;
+    this->allowance = RetryAllowance(this->clock, new_retries);
+  }
+}
+
+bool LocalExecutor::IsGranted(const wire::ExecutionRequest& request) {
+  if (request.repeat_cost() == 0) {
+    return true;
+  }
+  constexpr double kRanks = 65536;
+  const bool granted = this->allowance.TryRepeat(
+      request.repeat_cost(), this->instance_count,
+      request.importance() >= kLeastImportanceWithAllRepeats,
+      request.inner() ? std::optional<double>(request.rank() / kRanks) : std::nullopt);
+  ++(granted ? this->statistics.repeats_granted : this->statistics.repeats_denied);
+  return granted;
+}
+
+void LocalExecutor::ReplyGrant(const wire::ExecutionRequest& request,
+                               bool granted,
+                               ExecutionObserver& observer) {
+  wire::ExecutionReply reply;
+  reply.set_call(request.call());
+  if (!granted) {
+    reply.set_error(static_cast<std::uint32_t>(ErrorKind::kAttemptsExhausted));
+  }
+  observer.OnExecutionReply(reply);
+}
+
 void LocalExecutor::Drain() {
   this->draining = true;
 }
@@ -125,6 +172,7 @@
   if (this->instance_leaving || this->draining) {
     load.limit = 0;
   }
+  load.repeats_left = this->allowance.Left(this->instance_count);
   return load;
 }
 
--- a/sidecar/local_executor.h
+++ b/sidecar/local_executor.h
@@ -6,6 +6,7 @@
 #include <unordered_map>
 
 #include "masticpin/admission/admission_controller.h"
+#include "masticpin/attempts/retry_allowance.h"
 #include "masticpin/base/clock.h"
 #include "masticpin/base/random_source.h"
 #include "masticpin/base/ref_counted.h"
@@ -31,7 +32,8 @@
                 TimerService& timers,
                 RandomSource& random,
                 const HttpDialect& dialect,
-                SocketAddress upstream_address);
+                SocketAddress upstream_address,
+                const RetryAllowanceSettings& retries);
   ~LocalExecutor() override;
 
   void Execute(wire::ExecutionRequest request, ExecutionObserver& observer) override;
@@ -41,6 +43,12 @@
   /// that is draining or was removed gets no new requests.
   void SetInstance(const UpstreamInstance* instance);
 
+  /// Number of instances of the own service, which share the retry budget; 0 if it is not known.
+  void SetInstanceCount(std::size_t count) { this->instance_count = count; }
+
+  /// Takes over another retry budget of the service.
+  void SetRetries(const RetryAllowanceSettings& new_retries);
+
   /// Refuses all further requests. Those that wait or run are finished.
   void Drain();
 
@@ -64,6 +72,13 @@
   /// A response named the instance that is really there. The registry lags behind a restart.
   void OnInstanceNameSeen(const std::string& name);
 
+  /// Whether the retry budget covers the request, if it is a repeat that needs a grant.
+  bool IsGranted(const wire::ExecutionRequest& request);
+  /// Answers a request for a grant alone.
+  static void ReplyGrant(const wire::ExecutionRequest& request,
+                         bool granted,
+                         ExecutionObserver& observer);
+
   void OnEnded(LocalExecution& execution);
 
   const Clock& clock;
@@ -71,6 +86,9 @@
   const HttpDialect& dialect;
   HttpClient client;
   AdmissionController admission;
+  RetryAllowanceSettings retries;
+  RetryAllowance allowance;
+  std::size_t instance_count = 0;
   RunningRequestTable running;
   std::unordered_map<std::uint64_t, Ref<LocalExecution>> executions;
   LocalExecutorStatistics statistics;
--- a/sidecar/origin_request.cc
+++ b/sidecar/origin_request.cc
@@ -24,10 +24,6 @@
 /// full.
 constexpr std::uint32_t kMaxOverloadRefusals = 3;
 
-/// Requests of this importance, those of the two most urgent kinds and their calls, may use all of
-/// the retry budget.
-constexpr std::uint8_t kLeastImportanceWithAllRepeats = 6;
-
 /// With less time than this left, another attempt cannot reach its end.
 constexpr Duration kLeastTimeForRetry = std::chrono::milliseconds(15);
 
@@ -77,11 +73,6 @@
   }
   this->ReadContext();
   this->DrawService();
-  RetryAllowance& allowance = this->origin.AllowanceFor(this->service);
-  allowance.OnRequest();
-  if (this->repeated) {
-    allowance.OnForcedRepeat();
-  }
   if (this->origin.body_bytes_in_progress > this->origin.settings.max_body_bytes_in_progress) {
     this->Refuse(ErrorKind::kOverloaded, kLongestRetryAfter, "bodies in progress");
     return;
@@ -173,27 +164,31 @@
                  this->tried.empty() ? "no instance is listed" : "no other instance is left");
     return;
   }
+  ++this->sends;
   this->instance = found->name;
+  this->Execute(*found, this->BuildRequest());
+}
+
+void OriginRequest::Execute(const UpstreamInstance& to, wire::ExecutionRequest message) {
   this->call = this->origin.next_call++;
-  ++this->sends;
-  this->origin.placer.OnSent(this->instance);
-  if (found->address == this->origin.settings.upstream_address) {
+  message.set_call(this->call);
+  this->origin.placer.OnSent(to.name);
+  if (to.address == this->origin.settings.upstream_address) {
     this->link.reset();
     this->target = &this->origin.executor;
   } else {
-    this->link = this->origin.peers.LinkTo(*found);
+    this->link = this->origin.peers.LinkTo(to);
     this->target = this->link.get();
   }
   // The attempt may end, and another one begin, within this call.
   const Ref<OriginRequest> keep(this);
-  this->target->Execute(this->BuildRequest(this->call), *this);
+  this->target->Execute(std::move(message), *this);
 }
 
-wire::ExecutionRequest OriginRequest::BuildRequest(std::uint64_t call_id) const {
+wire::ExecutionRequest OriginRequest::BuildRequest() const {
   const HttpRequest& request = this->exchange->Request();
   const HttpDialect& dialect = this->origin.dialect;
   wire::ExecutionRequest message;
-  message.set_call(call_id);
   message.set_caller_service(this->origin.settings.service);
   message.set_request_id(this->id);
   message.set_method(request.method);
@@ -209,11 +204,24 @@
   message.set_rank(this->priority.rank);
   message.set_inner(this->inner);
   message.set_repeated(this->repeated);
+  message.set_repeat_cost(this->repeat_cost);
+  message.set_granted_elsewhere(this->granted_elsewhere);
   return message;
 }
 
 void OriginRequest::OnExecutionReply(const wire::ExecutionReply& reply) {
   const Ref<OriginRequest> keep(this);
+  if (this->asks_for_grant) {
+    this->asks_for_grant = false;
+    this->EndAttempt(PlacementOutcome::kNone);
+    if (reply.error() == 0) {
+      this->granted_elsewhere = true;
+      this->Send();
+    } else {
+      this->OnRepeatDenied();
+    }
+    return;
+  }
   if (reply.reached_instance()) {
     this->MarkReached();
     this->inner_calls = reply.inner_calls();
@@ -224,6 +232,11 @@
   }
   if (reply.error() != 0) {
     const ErrorKind kind = ErrorKindFromWire(reply.error());
+    if (kind == ErrorKind::kAttemptsExhausted) {
+      this->EndAttempt(PlacementOutcome::kRefused);
+      this->AskForGrant();
+      return;
+    }
     this->may_have_run |= !IsNotRun(kind);
     PlacementOutcome outcome = PlacementOutcome::kRefused;
     if (!IsNotRun(kind) || kind == ErrorKind::kUpstreamShed ||
@@ -242,7 +255,8 @@
   const bool own_failure = reply.status() >= 500 && reply.status() != 504 && !reply.chain_failed();
   this->EndAttempt(own_failure ? PlacementOutcome::kFailed : PlacementOutcome::kGood);
   this->may_have_run = true;
-  if (own_failure && this->route->idempotent && this->TakeRetry(ErrorKind::kUpstreamBroken)) {
+  if (own_failure && this->route->idempotent && this->PrepareRetry(ErrorKind::kUpstreamBroken)) {
+    this->last_answer = std::make_unique<wire::ExecutionReply>(reply);
     this->Send();
     return;
   }
@@ -251,6 +265,12 @@
 
 void OriginRequest::OnExecutionLost(ErrorKind kind, std::string_view reason) {
   const Ref<OriginRequest> keep(this);
+  if (this->asks_for_grant) {
+    this->asks_for_grant = false;
+    this->EndAttempt(PlacementOutcome::kNodeLost);
+    this->OnRepeatDenied();
+    return;
+  }
   if (!IsNotRun(kind)) {
     this->MarkReached();
     this->may_have_run = true;
@@ -263,14 +283,43 @@
   if (kind == ErrorKind::kOverloaded) {
     this->refused_for_load = true;
   }
-  if (this->TakeRetry(kind)) {
+  if (this->PrepareRetry(kind)) {
+    this->last_error = kind;
+    this->last_retry_after = retry_after;
     this->Send();
     return;
   }
   this->Refuse(kind, retry_after, reason);
 }
 
-bool OriginRequest::TakeRetry(ErrorKind kind) {
+void OriginRequest::AskForGrant() {
+  const std::string_view other = this->origin.placer.MostRepeatsLeft(this->service, this->instance);
+  const UpstreamInstance* found = other.empty() ? nullptr : this->origin.directory.Find(other);
+  if (found == nullptr) {
+    this->OnRepeatDenied();
+    return;
+  }
+  wire::ExecutionRequest message;
+  message.set_request_id(this->id);
+  message.set_importance(this->priority.importance);
+  message.set_rank(this->priority.rank);
+  message.set_inner(this->inner);
+  message.set_repeat_cost(this->repeat_cost);
+  message.set_grant_only(true);
+  this->asks_for_grant = true;
+  this->instance = found->name;
+  this->Execute(*found, std::move(message));
+}
+
+void OriginRequest::OnRepeatDenied() {
+  if (this->last_answer != nullptr) {
+    this->Answer(*this->last_answer);
+    return;
+  }
+  this->Refuse(this->last_error, this->last_retry_after, "retry budget is used up");
+}
+
+bool OriginRequest::PrepareRetry(ErrorKind kind) {
   if (this->sends >= kMaxSends || this->TimeLeft() < kLeastTimeForRetry) {
     return false;
   }
@@ -286,7 +335,7 @@
     return false;
   }
 
-  // Find where the next attempt may go, before the budget is charged for it.
+  // Find where the next attempt may go.
   if (!this->MayReachAnother() && kind == ErrorKind::kUpstreamShed) {
     // No further instance may get the request, but one that refused it may take it now.
     this->tried.clear();
@@ -297,22 +346,18 @@
     this->tried.push_back(this->instance);
   }
   if (this->ChooseInstance().empty()) {
-    if (not_run) {
+    if (!reached_instance) {
       return false;
     }
-    // The only instance may still answer a second time.
+    // An instance that refused or failed may still answer a second time.
     this->tried.clear();
   }
 
   if (reached_instance) {
-    // The request reached an instance, so that another send counts against the shared budget.
-    if (!this->origin.AllowanceFor(this->service)
-             .TryRepeat(1 + this->inner_calls, this->origin.directory.Size(),
-                        this->priority.importance >= kLeastImportanceWithAllRepeats,
-                        this->inner ? this->priority.rank / 65536.0 : 1)) {
-      return false;
-    }
+    // Another send counts against the shared budget, which the node beside the instance grants.
     this->repeated = true;
+    this->repeat_cost = 1 + this->inner_calls;
+    this->granted_elsewhere = false;
   }
   spdlog::info("event=request_repeated id={} service={} instance={} error={} sends={} reached={}",
                this->id, this->service, this->instance, GetAnswer(kind).name, this->sends,
@@ -439,8 +484,8 @@
   const Ref<OriginRequest> keep(this);
   if (this->call != 0) {
     this->target->Cancel(this->call);
-    this->may_have_run = true;
-    this->EndAttempt(PlacementOutcome::kFailed);
+    this->may_have_run |= !this->asks_for_grant;
+    this->EndAttempt(this->asks_for_grant ? PlacementOutcome::kNone : PlacementOutcome::kFailed);
   }
   this->Refuse(this->may_have_run ? ErrorKind::kDeadlineExceeded : ErrorKind::kExpiredBeforeStart,
                Duration::zero(), "time limit reached");
--- a/sidecar/origin_request.h
+++ b/sidecar/origin_request.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -10,6 +11,7 @@
 #include "masticpin/execution/running_request.h"
 #include "masticpin/routing/placement_outcome.h"
 #include "masticpin/routing/routing_configuration.h"
+#include "masticpin/routing/upstream_instance.h"
 #include "sidecar/caller_observer.h"
 #include "sidecar/execution_observer.h"
 #include "sidecar/execution_target.h"
@@ -50,11 +52,18 @@
   void MarkReached();
   /// Sends the request to an instance, or answers it if there is none.
   void Send();
-  wire::ExecutionRequest BuildRequest(std::uint64_t call_id) const;
+  wire::ExecutionRequest BuildRequest() const;
   /// Handles the end of an attempt without a response that can be passed on.
   void OnAttemptFailed(ErrorKind kind, Duration retry_after, std::string_view reason);
-  /// Whether another attempt is allowed after `kind`; counts it.
-  bool TakeRetry(ErrorKind kind);
+  /// Whether another attempt is allowed after `kind`, and prepares it.
+  bool PrepareRetry(ErrorKind kind);
+  /// The part of the instance in the retry budget did not cover the present attempt: asks another
+  /// instance for a repeat out of its part.
+  void AskForGrant();
+  /// Ends the request as the attempt before the present one did.
+  void OnRepeatDenied();
+  /// Sends `message` to the node beside an instance, as the present attempt.
+  void Execute(const UpstreamInstance& to, wire::ExecutionRequest message);
   void EndAttempt(PlacementOutcome outcome);
   void Answer(const wire::ExecutionReply& reply);
   void Refuse(ErrorKind kind, Duration retry_after, std::string_view reason);
@@ -82,6 +91,17 @@
   bool may_have_run = false;
   bool finished = false;
 
+  /// Repeats that the next instance's node has to grant; 0 while no attempt reached an instance.
+  std::uint32_t repeat_cost = 0;
+  /// The present exchange asks for a grant alone.
+  bool asks_for_grant = false;
+  /// Another instance's part of the retry budget covers the next attempt.
+  bool granted_elsewhere = false;
+  /// How the attempt before the present one ended, and the server's own answer if it gave one.
+  ErrorKind last_error{};
+  Duration last_retry_after{};
+  std::unique_ptr<wire::ExecutionReply> last_answer;
+
   /// Keeps the request alive until it is finished.
   Ref<OriginRequest> self;
 
--- a/sidecar/peer_protocol.cc
+++ b/sidecar/peer_protocol.cc
@@ -3,7 +3,8 @@
 namespace masticpin {
 
 LoadReport ToLoadReport(const wire::LoadReport& load) {
-  return LoadReport{load.limit(), load.in_flight(), load.queued(), load.threshold()};
+  return LoadReport{load.limit(), load.in_flight(), load.queued(), load.threshold(),
+                    load.repeats_left()};
 }
 
 void FromLoadReport(const LoadReport& load, wire::LoadReport& message) {
@@ -11,6 +12,7 @@
   message.set_in_flight(load.in_flight);
   message.set_queued(load.queued);
   message.set_threshold(load.threshold);
+  message.set_repeats_left(load.repeats_left);
 }
 
 }  // namespace masticpin
--- a/sidecar/request_origin.cc
+++ b/sidecar/request_origin.cc
@@ -49,22 +49,10 @@
   });
 }
 
-void RequestOrigin::SetRetries(const RetryAllowanceSettings& retries) {
-  const RetryAllowanceSettings& old = this->settings.retries;
-  if (old.ratio != retries.ratio || old.slack != retries.slack || old.window != retries.window) {
-    this->settings.retries = retries;
-    this->allowances.clear();
-  }
-}
-
 std::uint64_t RequestOrigin::ConfigurationVersion() const {
   return this->configuration == nullptr ? 0 : this->configuration->Version();
 }
 
-RetryAllowance& RequestOrigin::AllowanceFor(const std::string& service) {
-  return this->allowances.try_emplace(service, this->clock, this->settings.retries).first->second;
-}
-
 EntryThrottle& RequestOrigin::ThrottleFor(const Route& route) {
   return this->throttles.try_emplace(route.name, this->clock).first->second;
 }
--- a/sidecar/request_origin.h
+++ b/sidecar/request_origin.h
@@ -7,7 +7,6 @@
 #include <unordered_map>
 
 #include "masticpin/admission/entry_throttle.h"
-#include "masticpin/attempts/retry_allowance.h"
 #include "masticpin/base/clock.h"
 #include "masticpin/base/random_source.h"
 #include "masticpin/base/timer_service.h"
@@ -30,7 +29,6 @@
   std::string service;
   /// Address of the own instance; its node executes without a connection.
   SocketAddress upstream_address;
-  RetryAllowanceSettings retries;
   /// Bytes of request bodies in progress above which new requests are refused.
   std::size_t max_body_bytes_in_progress = std::size_t{32} << 20;
 };
@@ -61,9 +59,6 @@
   /// Takes over a configuration. Requests in progress keep theirs.
   void SetConfiguration(Ref<const RoutingConfiguration> new_configuration);
 
-  /// Takes over another shared retry budget.
-  void SetRetries(const RetryAllowanceSettings& retries);
-
   /// The configuration in force; nullptr while there is none.
   const RoutingConfiguration* Configuration() const { return this->configuration.get(); }
 
@@ -78,12 +73,11 @@
  private:
   friend class OriginRequest;
 
-  RetryAllowance& AllowanceFor(const std::string& service);
   EntryThrottle& ThrottleFor(const Route& route);
   /// Counts an answer. The registry of the metrics is asked once for each status only.
   void CountAnswer(int status);
 
-  Settings settings;
+  const Settings settings;
   const HttpDialect& dialect;
   const Clock& clock;
   TimerService& timers;
@@ -97,9 +91,8 @@
   std::unordered_map<int, Counter*> answers;
 
   Ref<const RoutingConfiguration> configuration;
-  /// By service and by route name. Routes come and go with the configuration; their throttles are
-  /// dropped with the next one that does not name them.
-  std::map<std::string, RetryAllowance, std::less<>> allowances;
+  /// By route name. Routes come and go with the configuration; their throttles are dropped with the
+  /// next one that does not name them.
   std::map<std::string, EntryThrottle, std::less<>> throttles;
   std::uint64_t next_call = 1;
   std::uint32_t requests_in_progress = 0;
--- a/sidecar/sidecar_node.cc
+++ b/sidecar/sidecar_node.cc
@@ -36,7 +36,6 @@
   RequestOriginSettings origin;
   origin.service = settings.service;
   origin.upstream_address = settings.upstream_address;
-  origin.retries = settings.retries;
   constexpr std::size_t kBodyPart = 8;
   origin.max_body_bytes_in_progress = (settings.memory_mb << 20) / kBodyPart;
   return origin;
@@ -61,7 +60,13 @@
       directory(settings.upstream_address, settings.service),
       placer(settings.zone, clock, random),
       peers(loop, clock, timers, *this, *this, settings.service, settings.peer_address.port),
-      executor(loop, clock, timers, random, source.Dialect(), settings.upstream_address),
+      executor(loop,
+               clock,
+               timers,
+               random,
+               source.Dialect(),
+               settings.upstream_address,
+               settings.retries),
       origin(MakeOriginSettings(settings),
              source.Dialect(),
              clock,
@@ -138,7 +143,7 @@
     return;
   }
   spdlog::set_level(spdlog::level::from_str(read->log_level));
-  this->origin.SetRetries(read->retries);
+  this->executor.SetRetries(read->retries);
   spdlog::info("event=settings_reloaded log_level={} retry_ratio={} retry_slack={}",
                read->log_level, read->retries.ratio, read->retries.slack);
 }
@@ -241,6 +246,7 @@
 void SidecarNode::UpdateOwnInstance() {
   const UpstreamInstance* own = this->directory.FindByAddress(this->settings.upstream_address);
   this->executor.SetInstance(own);
+  this->executor.SetInstanceCount(this->placer.CountInstances(this->settings.service));
   if (own != nullptr &&
       (own->name != this->own_instance || own->incarnation != this->own_incarnation)) {
     this->own_instance = own->name;
@@ -309,10 +315,12 @@
   const LoadReport load = this->executor.GetLoad();
   spdlog::info(
       "event=load limit={} in_flight={} queued={} threshold={} offered={} started={} refused={} "
-      "shed={} broken={}",
+      "shed={} broken={} repeats_granted={} repeats_denied={}",
       load.limit, load.in_flight, load.queued, load.threshold, done.offered - this->logged.offered,
       done.started - this->logged.started, done.refused - this->logged.refused,
-      done.shed - this->logged.shed, done.broken - this->logged.broken);
+      done.shed - this->logged.shed, done.broken - this->logged.broken,
+      done.repeats_granted - this->logged.repeats_granted,
+      done.repeats_denied - this->logged.repeats_denied);
   this->logged = done;
 }
 
@@ -336,6 +344,10 @@
       done.refused);
   set("masticpin_executions_shed", "Requests that the upstream refused since the start.",
       done.shed);
+  set("masticpin_repeats_granted", "Repeats granted out of the retry budget since the start.",
+      done.repeats_granted);
+  set("masticpin_repeats_denied", "Repeats that the retry budget did not cover, since the start.",
+      done.repeats_denied);
   set("masticpin_executions_broken", "Requests without a complete response since the start.",
       done.broken);
   set("masticpin_upstream_connections", "Connections opened to the upstream since the start.",
--- a/sidecar/sidecar_recovery_test.cc
+++ b/sidecar/sidecar_recovery_test.cc
@@ -111,6 +111,106 @@
   }
 }
 
+// Guards against a node with few requests of its own that cannot repeat them although the service's
+// budget is hardly used: the callers of the most urgent requests were spread over all nodes, each
+// of which had a part of the budget that covered one repeat in six seconds.
+TEST_F(SidecarRecoveryTest, RequestsOfAllNodesEarnTheRepeatsOfEach) {
+  std::set<std::string> seen;
+  const auto refuse_first = [&](Connection& connection, const std::string& request) {
+    const std::string id = FieldOf(request, "Test-Id");
+    if (id.starts_with("rare-") && seen.insert(id).second) {
+      connection.Send(TestFleet::Answer(request, "", "Test-Not-Executed: 1\r\n", "503 Full"));
+      return;
+    }
+    connection.Send(TestFleet::Answer(request));
+  };
+  this->fleet.AddMachine("front", AnswerAll);
+  this->fleet.AddMachine("front", AnswerAll);
+  this->fleet.AddMachine("page", refuse_first);
+  for (std::size_t machine = 0; machine < 3; ++machine) {
+    this->fleet.At(machine).settings.retries.slack = 0;
+  }
+  this->fleet.AddRoute("r", "page", true);
+  this->fleet.Start();
+  RawCaller busy(this->fleet.Loop(), this->fleet.RequestAddress(1));
+  constexpr int kRequests = 200;
+  for (int i = 0; i < kRequests; ++i) {
+    busy.Send(TestFleet::Request("often-" + std::to_string(i), "r"));
+    ASSERT_TRUE(this->fleet.RunUntil([&] { return busy.Responses() == i + 1; }));
+  }
+  for (int i = 0; i < 10; ++i) {
+    EXPECT_EQ(StatusOf(this->Ask(TestFleet::Request("rare-" + std::to_string(i), "r"))), 200);
+  }
+}
+
+// Guards against repeats that fail although the budget of the service covers them: while one
+// instance loses answers, all repeats go to the others, whose parts are soon used up.
+TEST_F(SidecarRecoveryTest, PartOfAnotherInstanceCoversRepeats) {
+  std::set<std::string> seen;
+  const auto is_repeat = [&](const std::string& request) {
+    const std::string id = FieldOf(request, "Test-Id");
+    return id.starts_with("good-") || !seen.insert(id).second;
+  };
+  this->fleet.AddMachine("front", AnswerAll);
+  this->fleet.AddMachine("page", [&](Connection& connection, const std::string& request) {
+    if (is_repeat(request)) {
+      connection.Send(TestFleet::Answer(request));
+    } else {
+      connection.Reset();
+    }
+  });
+  this->fleet.AddMachine("page", [&](Connection& connection, const std::string& request) {
+    connection.Send(is_repeat(request)
+                        ? TestFleet::Answer(request)
+                        : TestFleet::Answer(request, "", "Test-Not-Executed: 1\r\n", "503 Full"));
+  });
+  for (std::size_t machine = 0; machine < 3; ++machine) {
+    this->fleet.At(machine).settings.retries.slack = 0;
+  }
+  this->fleet.AddRoute("r", "page", true);
+  // Only the first instance earns repeats.
+  this->fleet.At(2).entry.state = InstanceState::kDraining;
+  this->fleet.Start();
+  constexpr int kRequests = 200;
+  for (int i = 0; i < kRequests; ++i) {
+    ASSERT_EQ(StatusOf(this->Ask(TestFleet::Request("good-" + std::to_string(i), "r"))), 200);
+  }
+  this->fleet.At(2).entry.state = InstanceState::kReady;
+  this->fleet.At(2).entry.revision += 100;
+  this->fleet.PublishInstances();
+  for (int i = 0; i < 10; ++i) {
+    EXPECT_EQ(StatusOf(this->Ask(TestFleet::Request("bad-" + std::to_string(i), "r"))), 200);
+  }
+  EXPECT_GT(this->Arrivals(2), 0U);
+}
+
+// Guards against repeats beyond the budget, and against an answer of a server that is lost because
+// the repeat which was to replace it is denied.
+TEST_F(SidecarRecoveryTest, DeniedRepeatEndsTheRequestAsItsLastAttemptDid) {
+  this->fleet.AddMachine("front", AnswerAll);
+  this->fleet.AddMachine("page", [](Connection& connection, const std::string& request) {
+    if (request.find("/shed/") != std::string::npos) {
+      connection.Send(TestFleet::Answer(request, "", "Test-Not-Executed: 1\r\n", "503 Full"));
+    } else {
+      connection.Send(TestFleet::Answer(request, "broken", "", "500 Internal Server Error"));
+    }
+  });
+  for (std::size_t machine = 0; machine < 2; ++machine) {
+    this->fleet.At(machine).settings.retries.slack = 0;
+  }
+  this->fleet.AddRoute("shed", "page", false);
+  this->fleet.AddRoute("fail", "page", true);
+  this->fleet.Start();
+  const std::string refused = this->Ask(TestFleet::Request("1", "shed", "POST", "", "x"));
+  EXPECT_EQ(StatusOf(refused), 503);
+  EXPECT_NE(FieldOf(refused, "Retry-After"), "");
+  const std::string failed = this->Ask(TestFleet::Request("2", "fail"));
+  EXPECT_EQ(StatusOf(failed), 500);
+  EXPECT_EQ(FieldOf(failed, "Test-Seal"), "seal");
+  EXPECT_EQ(failed.substr(failed.size() - 6), "broken");
+  EXPECT_EQ(this->Arrivals(1), 2U);
+}
+
 // Guards against an instance that is still named by its predecessor's entry: seen after a power
 // loss of all machines, when requests failed until the registry listed the new names.
 TEST_F(SidecarRecoveryTest, RestartedInstanceIsServedUnderItsNewName) {
