--- a/masticpin/routing/instance_placer_test.cc
+++ b/masticpin/routing/instance_placer_test.cc
@@ -26,7 +26,7 @@
   }
 
   void ReportLoad(const std::string& name, std::uint32_t in_flight, std::uint32_t queued = 0) {
-    this->placer.OnLoad(name, LoadReport{10, in_flight, queued, 0});
+    this->placer.OnLoad(name, LoadReport{10, in_flight, queued, 0, 0});
   }
 
   std::string Choose(std::vector<std::string> excluded = {}) {
@@ -51,6 +51,23 @@
   EXPECT_EQ(this->Choose(), "");
 }
 
+// Guards against a grant that is asked from an instance which has none to give, or is not there.
+TEST_F(InstancePlacerTest, MostRepeatsLeftNamesTheInstanceThatCanGrant) {
+  this->Add("used-up", "a");
+  this->Add("some", "b");
+  this->Add("most", "b");
+  EXPECT_EQ(this->placer.MostRepeatsLeft("dues", ""), "");
+  this->placer.OnLoad("used-up", LoadReport{10, 0, 0, 0, 0});
+  this->placer.OnLoad("some", LoadReport{10, 0, 0, 0, 3});
+  this->placer.OnLoad("most", LoadReport{10, 0, 0, 0, 9});
+  EXPECT_EQ(this->placer.MostRepeatsLeft("dues", ""), "most");
+  EXPECT_EQ(this->placer.MostRepeatsLeft("dues", "most"), "some");
+  EXPECT_EQ(this->placer.MostRepeatsLeft("ballot", ""), "");
+  this->placer.OnSent("most");
+  this->placer.OnOutcome("most", PlacementOutcome::kNodeLost);
+  EXPECT_EQ(this->placer.MostRepeatsLeft("dues", ""), "some");
+}
+
 // Guards against traffic between zones that no waiting justifies.
 TEST_F(InstancePlacerTest, OwnZoneIsUsedUntilRequestsWouldWait) {
   this->Add("own", "a");
