Reject requests whose end or host is ambiguous, and bound chunk lines and trailers of callers

Cause: Transfer-Encoding values such as 'chunked, chunked' and 'xchunked' were accepted: the request ran with an empty body, and its body was taken for the next request. Requests with two Host fields or none were routed by the first one or by an empty name, and a target in absolute form matched no route. The line before a chunk and the trailer fields of a caller were kept in memory without a bound until the header timeout.

Change: CheckRequestFraming() accepts one 'chunked' coding or one numeric length; other codings get 501, everything else 400, before anything runs and as the last response of the connection. A target in absolute form is split; its host replaces the Host field. Chunk lines and trailers are limited to 16 KiB.

--- a/sidecar/http_message.cc
+++ b/sidecar/http_message.cc
@@ -35,17 +35,29 @@
   return {};
 }
 
+void HttpFields::Set(std::string_view name, std::string_view value) {
+  for (HttpField& field : this->fields) {
+    if (boost::beast::iequals(field.name, name)) {
+      field.value = std::string(value);
+      return;
+    }
+  }
+  this->fields.push_back(HttpField{std::string(name), std::string(value)});
+}
+
 void HttpFields::AppendEndToEndLines(const std::vector<std::string_view>& excluded,
                                      std::string& lines) const {
   for (const HttpField& field : this->fields) {
-    if (Contains(kHopByHopFields, field.name) || Contains(excluded, field.name) ||
-        this->IsListedInConnectionField(field.name)) {
-      continue;
+    if (this->IsEndToEnd(field.name) && !Contains(excluded, field.name)) {
+      lines.append(field.name).append(": ").append(field.value).append("\r\n");
     }
-    lines.append(field.name).append(": ").append(field.value).append("\r\n");
   }
 }
 
+bool HttpFields::IsEndToEnd(std::string_view name) const {
+  return !Contains(kHopByHopFields, name) && !this->IsListedInConnectionField(name);
+}
+
 bool HttpFields::IsListedInConnectionField(std::string_view name) const {
   for (const HttpField& field : this->fields) {
     if (!boost::beast::iequals(field.name, "Connection")) {
--- a/sidecar/http_message.h
+++ b/sidecar/http_message.h
@@ -18,11 +18,25 @@
   /// Returns the value of the first field with this name, or an empty view.
   std::string_view Find(std::string_view name) const;
 
+  /// Calls `visit` with the name and the value of each end-to-end field.
+  template <typename Visitor>
+  void ForEachEndToEnd(const Visitor& visit) const {
+    for (const HttpField& field : this->fields) {
+      if (this->IsEndToEnd(field.name)) {
+        visit(field.name, field.value);
+      }
+    }
+  }
+
+  /// Replaces the value of the first field with this name, or appends the field.
+  void Set(std::string_view name, std::string_view value);
+
   /// Appends all end-to-end fields as lines that end with CR LF. Omits the hop-by-hop fields, those
   /// that frame the body, those listed in `Connection`, and those in `excluded`.
   void AppendEndToEndLines(const std::vector<std::string_view>& excluded, std::string& lines) const;
 
  private:
+  bool IsEndToEnd(std::string_view name) const;
   bool IsListedInConnectionField(std::string_view name) const;
 
   std::vector<HttpField> fields;
--- a/sidecar/http_session.cc
+++ b/sidecar/http_session.cc
@@ -8,6 +8,8 @@
 #include <boost/beast/core/string.hpp>
 #include <utility>
 
+#include "sidecar/http_framing.h"
+
 namespace masticpin {
 
 namespace http = boost::beast::http;
@@ -27,6 +29,10 @@
 /// write.
 constexpr std::size_t kMaxUnparsedBytes = std::size_t{64} << 10;
 
+/// Maximum size of the line before a chunk, and of the trailer fields. The parser consumes them
+/// only when they are complete.
+constexpr std::size_t kMaxChunkLineBytes = std::size_t{16} << 10;
+
 }  // namespace
 
 HttpSession::HttpSession(boost::asio::ip::tcp::socket socket,
@@ -44,6 +50,14 @@
   this->Read();
 }
 
+bool HttpSession::IsBusy() const {
+  if (!this->exchanges.empty() || this->writing) {
+    return true;
+  }
+  boost::system::error_code ignored;  // After an error the pending read closes the connection.
+  return !this->input_ended && this->socket.available(ignored) > 0;
+}
+
 void HttpSession::Close() {
   if (this->closed) {
     return;
@@ -137,6 +151,7 @@
   this->parser->header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
   this->parser->body_limit(limits.max_body_bytes);
   this->continue_sent = false;
+  this->header_checked = false;
 }
 
 bool HttpSession::Parse() {
@@ -165,10 +180,17 @@
       }
       break;
     }
+    if (!this->CheckHeader()) {
+      break;
+    }
     if (this->parser->is_done()) {
       this->OnMessage();
       continue;
     }
+    if (this->parser->is_header_done() && this->input.size() > kMaxChunkLineBytes) {
+      this->RejectMessage(400, "Bad Request");
+      break;
+    }
     if (this->parser->is_header_done() && !this->continue_sent && !this->writing &&
         this->exchanges.empty() &&
         boost::beast::iequals(this->parser->get()[http::field::expect], "100-continue")) {
@@ -186,6 +208,26 @@
   return !this->closed;
 }
 
+bool HttpSession::CheckHeader() {
+  if (this->header_checked || !this->parser->is_header_done()) {
+    return true;
+  }
+  this->header_checked = true;
+  switch (CheckRequestFraming(this->parser->get())) {
+    case RequestFraming::kValid:
+      return true;
+    case RequestFraming::kInvalid:
+      spdlog::info("event=malformed_request reason=\"ambiguous framing or host\"");
+      this->RejectMessage(400, "Bad Request");
+      return false;
+    case RequestFraming::kUnknownCoding:
+      spdlog::info("event=malformed_request reason=\"unknown transfer coding\"");
+      this->RejectMessage(501, "Not Implemented");
+      return false;
+  }
+  return true;
+}
+
 void HttpSession::OnMessage() {
   auto message = this->parser->release();
   this->parser.reset();
@@ -195,6 +237,12 @@
   request.fields = HttpFields(message.base());
   request.keep_alive = message.keep_alive();
   request.body = std::move(message.body());
+  std::optional<AbsoluteTarget> absolute = ParseAbsoluteTarget(request.target);
+  if (absolute) {
+    // The host of the target replaces the Host field (RFC 9112, section 3.2.2).
+    request.target = std::move(absolute->origin_form);
+    request.fields.Set("Host", absolute->authority);
+  }
   // Anything after the last request of a connection is ignored.
   this->input_ended = !request.keep_alive;
   Ref<HttpExchange> exchange(new HttpExchange(*this, std::move(request), this->clock.Now()));
--- a/sidecar/http_session.h
+++ b/sidecar/http_session.h
@@ -39,8 +39,9 @@
   /// Closes the connection. The observers of unfinished requests are notified of the disconnect.
   void Close();
 
-  /// Whether a request is in progress or a response is not fully written.
-  bool IsBusy() const { return !this->exchanges.empty() || this->writing; }
+  /// Whether a request is in progress, bytes have arrived that were not read yet, or a response is
+  /// not fully written.
+  bool IsBusy() const;
 
  private:
   friend class HttpExchange;
@@ -58,6 +59,8 @@
   /// Passes the bytes that were read to the parser. Returns false if the connection was closed.
   bool Parse();
   void StartParser();
+  /// Checks the header once it is complete. Returns false if the request was rejected.
+  bool CheckHeader();
   void OnMessage();
   /// Responds to a request that could not be parsed, as the last one of the connection.
   void RejectMessage(int status, std::string_view reason);
@@ -81,6 +84,7 @@
   bool input_ended = false;
   bool closed = false;
   bool continue_sent = false;
+  bool header_checked = false;
 
   std::deque<Ref<HttpExchange>> exchanges;
   std::string output;
