Bound what a server may send, and how often a broken request is sent

Cause: a server that sends bytes without end was read until the deadline: 111 MB of interim responses, 300 MB of a chunk extension or of trailers, 890 MB of a body; the process grew by up to 2 GB. An announced length of 2^62 bytes was reserved at once, and the exception ended the process. A response with an unknown transfer coding was complete at the end of the connection. An idempotent request was sent up to eight times to the only server although each send may have run it. A second copy of a refusal, on the connection on which the same request was sent again, was taken for the response to the second send: a request that is not idempotent ran twice.

Change: HttpClientSettings bounds the body of one response and the total of all large ones (an eighth of the memory; bodies below 64 KiB are exempt). Headers, chunk lines and trailers are limited to 64 KiB, interim and duplicate responses to 16, all bytes of one call to twice the body bound. The framing of responses is checked. The sends that may have run count against the route's attempts. A request is not sent twice on one connection, nor on one with unread bytes.

--- a/sidecar/http_call.h
+++ b/sidecar/http_call.h
@@ -16,6 +16,10 @@
   /// response with another value belongs to another request. An empty name disables the check.
   std::string echo_name;
   std::string echo_value;
+  /// Whether a response without the echoed field belongs to another request too. Otherwise it is
+  /// accepted, but the connection is not reused, because a late second copy of it could not be told
+  /// from the next response.
+  bool echo_required = true;
   /// Maximum idle time of a connection that may be reused. A server may close an idle connection at
   /// any time, and a request that is sent at that moment may or may not have run.
   Duration max_idle{};
--- a/sidecar/http_client.cc
+++ b/sidecar/http_client.cc
@@ -3,26 +3,36 @@
 #include <utility>
 
 namespace masticpin {
+namespace {
+
+/// Bodies up to this size are received even if the bound for large bodies is reached, so that a
+/// server with endless bodies does not affect its other responses.
+constexpr std::size_t kSmallBodyBytes = std::size_t{64} << 10;
+
+std::size_t LargeBodyBytes(std::size_t bytes) {
+  return bytes <= kSmallBodyBytes ? 0 : bytes;
+}
+
+}  // namespace
 
 HttpClient::HttpClient(boost::asio::io_context& loop,
                        const Clock& clock,
                        TimerService& timers,
-                       SocketAddress address)
-    : loop(loop), clock(clock), timers(timers), address(std::move(address)) {}
+                       SocketAddress address,
+                       const HttpClientSettings& settings)
+    : loop(loop), clock(clock), timers(timers), address(std::move(address)), settings(settings) {}
 
 HttpClient::~HttpClient() {
   this->CloseIdle();
 }
 
 Ref<HttpClientConnection> HttpClient::Call(HttpCall call, HttpCallObserver& observer) {
-  if (!this->idle.empty()) {
-    HttpClientConnection& newest = this->idle.front();
-    if (this->clock.Now() - newest.IdleSince() <= call.max_idle) {
-      Ref<HttpClientConnection> connection(&newest);
-      connection->RemoveFromList();
-      connection->Send(std::move(call), observer);
-      return connection;
-    }
+  HttpClientConnection* const reusable = this->FindReusable(call);
+  if (reusable != nullptr) {
+    Ref<HttpClientConnection> connection(reusable);
+    connection->RemoveFromList();
+    connection->Send(std::move(call), observer);
+    return connection;
   }
   ++this->opened;
   Ref<HttpClientConnection> connection(
@@ -31,6 +41,28 @@
   return connection;
 }
 
+HttpClientConnection* HttpClient::FindReusable(const HttpCall& call) {
+  for (auto it = this->idle.begin(); it != this->idle.end();) {
+    HttpClientConnection& connection = *it++;
+    if (this->clock.Now() - connection.IdleSince() > call.max_idle) {
+      return nullptr;  // All further connections were idle for longer.
+    }
+    if (connection.HasUnreadBytes()) {
+      connection.Close();
+    } else if (!connection.HasSent(call)) {
+      return &connection;
+    }
+  }
+  return nullptr;
+}
+
+bool HttpClient::OnBodySize(std::size_t previous, std::size_t current) {
+  this->large_body_bytes += LargeBodyBytes(current);
+  this->large_body_bytes -= LargeBodyBytes(previous);
+  return LargeBodyBytes(current) == 0 ||
+         this->large_body_bytes <= this->settings.max_large_body_bytes;
+}
+
 void HttpClient::CloseIdle() {
   while (!this->idle.empty()) {
     this->idle.front().Close();
--- a/sidecar/http_client.h
+++ b/sidecar/http_client.h
@@ -11,6 +11,7 @@
 #include "sidecar/http_call.h"
 #include "sidecar/http_call_observer.h"
 #include "sidecar/http_client_connection.h"
+#include "sidecar/http_client_settings.h"
 
 namespace masticpin {
 
@@ -21,7 +22,8 @@
   HttpClient(boost::asio::io_context& loop,
              const Clock& clock,
              TimerService& timers,
-             SocketAddress address);
+             SocketAddress address,
+             const HttpClientSettings& settings = {});
   ~HttpClient();
 
   /// Starts a call. Until the observer is called, the returned connection can be closed to abort
@@ -42,10 +44,20 @@
 
   void OnIdle(HttpClientConnection& connection);
 
+  /// Returns an idle connection on which the call may be sent, or nullptr.
+  HttpClientConnection* FindReusable(const HttpCall& call);
+
+  /// Records that the body that a connection is receiving grew or shrank. Returns false if the
+  /// large bodies together exceed their bound.
+  bool OnBodySize(std::size_t previous, std::size_t current);
+
   boost::asio::io_context& loop;
   const Clock& clock;
   TimerService& timers;
   const SocketAddress address;
+  const HttpClientSettings settings;
+  /// Total size of the large bodies that are being received.
+  std::size_t large_body_bytes = 0;
   /// Most recently used first, so that surplus connections stay idle until the server closes them.
   ConnectionList idle;
   std::uint64_t opened = 0;
--- a/sidecar/http_client_connection.cc
+++ b/sidecar/http_client_connection.cc
@@ -2,12 +2,15 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/asio/write.hpp>
+#include <functional>
 #include <utility>
 
 #include "sidecar/http_client.h"
+#include "sidecar/http_framing.h"
 #include "sidecar/tcp_address.h"
 
 namespace masticpin {
@@ -16,13 +19,27 @@
 
 namespace {
 
-/// A server on the same machine accepts immediately; a longer wait means that it has stopped or its
-/// backlog is full.
-constexpr Duration kConnectTimeout = std::chrono::milliseconds(1000);
-
 /// Servers send headers of a few hundred bytes; anything larger than this is not a valid response.
 constexpr std::uint32_t kMaxResponseHeaderBytes = std::uint32_t{64} << 10;
 
+/// Maximum size of a header, of the line before a chunk, and of the trailer fields. The parser
+/// consumes each of them only when it is complete.
+constexpr std::size_t kMaxUnparsedBytes = kMaxResponseHeaderBytes;
+
+/// Maximum number of interim responses and of duplicates of earlier responses before the response
+/// to a request.
+constexpr std::size_t kMaxDiscardedResponses = 16;
+
+/// All bytes received for one request may be at most this multiple of the maximum body size. More
+/// means that the body is sent in tiny chunks.
+constexpr std::size_t kMaxReceivedFactor = 2;
+
+constexpr unsigned kSwitchingProtocols = 101;
+
+std::size_t HashId(std::string_view id) {
+  return std::hash<std::string_view>()(id);
+}
+
 }  // namespace
 
 HttpClientConnection::HttpClientConnection(boost::asio::io_context& loop,
@@ -38,7 +55,7 @@
                                    HttpCallObserver& new_observer) {
   this->call = std::move(new_call);
   this->observer = &new_observer;
-  this->timers.Schedule(*this, this->clock.Now() + kConnectTimeout);
+  this->timers.Schedule(*this, this->clock.Now() + this->client.settings.connect_timeout);
   this->socket.async_connect(ToEndpoint(address), [self = Ref<HttpClientConnection>(this)](
                                                       const boost::system::error_code& error) {
     self->timers.Cancel(*self);
@@ -60,11 +77,25 @@
   this->StartCall();
 }
 
+bool HttpClientConnection::HasSent(const HttpCall& next_call) const {
+  return !next_call.echo_name.empty() &&
+         std::find(this->sent_requests.begin(), this->sent_requests.end(),
+                   HashId(next_call.echo_value)) != this->sent_requests.end();
+}
+
+bool HttpClientConnection::HasUnreadBytes() const {
+  boost::system::error_code ignored;  // After an error the pending read closes the connection.
+  return this->socket.available(ignored) > 0;
+}
+
 void HttpClientConnection::OnTimer(TimePoint) {
   this->Fail(ErrorKind::kUpstreamUnreachable, "connect timed out");
 }
 
 void HttpClientConnection::StartCall() {
+  this->sent_requests.push_back(HashId(this->call.echo_value));
+  this->discarded_responses = 0;
+  this->received_bytes = 0;
   this->StartParser();
   this->writing = true;
   boost::asio::async_write(
@@ -78,8 +109,9 @@
   this->parser.emplace();
   this->parser->eager(true);
   this->parser->header_limit(kMaxResponseHeaderBytes);
-  this->parser->body_limit(boost::none);
+  this->parser->body_limit(this->client.settings.max_body_bytes);
   this->parser->skip(this->call.head);
+  this->header_checked = false;
 }
 
 void HttpClientConnection::OnWritten(const boost::system::error_code& error) {
@@ -124,6 +156,7 @@
     return;
   }
   this->input.append(this->read_buffer.get(), bytes);
+  this->received_bytes += bytes;
   this->Parse(false);
 }
 
@@ -136,6 +169,11 @@
       this->Fail(ErrorKind::kUpstreamBroken, error.message());
       return;
     }
+    const std::string_view violation = this->FindViolation();
+    if (!violation.empty()) {
+      this->Fail(ErrorKind::kUpstreamBroken, violation);
+      return;
+    }
     if (this->parser->is_done()) {
       this->OnMessage();
       continue;
@@ -147,6 +185,10 @@
   if (this->observer == nullptr || this->closed) {
     return;
   }
+  if (this->input.size() > kMaxUnparsedBytes) {
+    this->Fail(ErrorKind::kUpstreamBroken, "header, chunk line or trailer is too large");
+    return;
+  }
   if (end_of_stream) {
     // The body of a response without a length ends with the connection.
     boost::system::error_code error;
@@ -164,20 +206,64 @@
   this->Read();
 }
 
+std::string_view HttpClientConnection::FindViolation() {
+  if (!this->parser->is_header_done()) {
+    return {};
+  }
+  if (!this->header_checked) {
+    this->header_checked = true;
+    if (!HasValidFraming(this->parser->get())) {
+      return "ambiguous framing of the response";
+    }
+  }
+  if (!this->AccountBody(this->parser->get().body().size())) {
+    return "too many bytes of response bodies in progress";
+  }
+  if (this->received_bytes > this->client.settings.max_body_bytes * kMaxReceivedFactor) {
+    return "response is too large";
+  }
+  return {};
+}
+
+bool HttpClientConnection::AccountBody(std::size_t bytes) {
+  const std::size_t previous = this->accounted_body_bytes;
+  if (previous == bytes) {
+    return true;
+  }
+  this->accounted_body_bytes = bytes;
+  return this->client.OnBodySize(previous, bytes);
+}
+
+void HttpClientConnection::DiscardMessage() {
+  this->AccountBody(0);
+  if (++this->discarded_responses > kMaxDiscardedResponses) {
+    this->Fail(ErrorKind::kUpstreamBroken, "too many responses before the expected one");
+    return;
+  }
+  this->StartParser();
+}
+
 void HttpClientConnection::OnMessage() {
   auto message = this->parser->release();
   const bool informational = message.result_int() >= 100 && message.result_int() < 200;
-  const bool other_request =
-      !this->call.echo_name.empty() &&
-      std::string_view(message[this->call.echo_name]) != this->call.echo_value;
+  const std::string_view echoed = this->call.echo_name.empty()
+                                      ? std::string_view()
+                                      : std::string_view(message[this->call.echo_name]);
+  const bool identified = this->call.echo_required || !echoed.empty();
+  const bool other_request = !informational && !this->call.echo_name.empty() && identified &&
+                             echoed != this->call.echo_value;
+  if (message.result_int() == kSwitchingProtocols) {
+    this->Fail(ErrorKind::kUpstreamBroken, "server switched to another protocol");
+    return;
+  }
   if (informational || other_request) {
     // A duplicate response to an earlier request may precede the response to this one.
     if (other_request) {
       spdlog::info("event=response_skipped expected_id={} id={}", this->call.echo_value,
-                   std::string(message[this->call.echo_name]));
+                   std::string(echoed));
       this->skipped_response = true;
     }
-    this->StartParser();
+    this->DiscardMessage();
     return;
   }
 
@@ -187,13 +273,15 @@
   response.fields = HttpFields(message.base());
   response.keep_alive = message.keep_alive();
   response.body = std::move(message.body());
+  this->AccountBody(0);
   HttpCallObserver* const finished_observer = this->observer;
   this->observer = nullptr;
 
   // The connection cannot be reused if the request was not fully written before the response, if
-  // bytes follow the response, or if a response to another request arrived.
-  const bool reusable =
-      response.keep_alive && !this->writing && this->input.empty() && !this->skipped_response;
+  // bytes follow the response, if a response to another request arrived, or if the response does
+  // not say to which request it belongs.
+  const bool reusable = response.keep_alive && !this->writing && this->input.empty() &&
+                        !this->skipped_response && identified;
   const Ref<HttpClientConnection> keep(this);
   if (reusable) {
     this->idle_since = this->clock.Now();
@@ -224,6 +312,7 @@
   const Ref<HttpClientConnection> keep(this);
   this->closed = true;
   this->observer = nullptr;
+  this->AccountBody(0);
   this->timers.Cancel(*this);
   boost::system::error_code ignored;  // The connection is closed even if this fails.
   this->socket.close(ignored);
--- a/sidecar/http_client_connection.h
+++ b/sidecar/http_client_connection.h
@@ -4,6 +4,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <boost/circular_buffer.hpp>
 #include <boost/intrusive/list.hpp>
 #include <memory>
 #include <optional>
@@ -45,6 +46,14 @@
   /// disconnect and cancels it.
   void Close();
 
+  /// Whether the same request was sent on this connection before. A second copy of its response may
+  /// still arrive and could not be told from the response to the second send.
+  bool HasSent(const HttpCall& next_call) const;
+
+  /// Whether bytes have arrived that were not read yet. On an idle connection they belong to no
+  /// request.
+  bool HasUnreadBytes() const;
+
   /// Time at which the connection became idle.
   TimePoint IdleSince() const { return this->idle_since; }
 
@@ -55,10 +64,18 @@
   using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
 
   static constexpr std::size_t kReadBytes = std::size_t{8} << 10;
+  /// Number of requests that a connection remembers for HasSent().
+  static constexpr std::size_t kRememberedRequests = 32;
 
   void OnTimer(TimePoint now) override;
   void StartCall();
   void StartParser();
+  /// Returns why the bytes received so far cannot become a valid response, or an empty view.
+  std::string_view FindViolation();
+  /// Discards an interim response or a response to another request, and waits for the next one.
+  void DiscardMessage();
+  /// Records the size of the body received so far. Returns false if it exceeds a bound.
+  bool AccountBody(std::size_t bytes);
   void Read();
   void OnRead(const boost::system::error_code& error, std::size_t bytes);
   /// Passes the bytes that were read to the parser.
@@ -81,6 +98,14 @@
   bool closed = false;
   /// Whether a response to another request arrived; if so, the connection is not reused.
   bool skipped_response = false;
+  /// Responses of the current call that were discarded, and all bytes received for it.
+  std::size_t discarded_responses = 0;
+  std::size_t received_bytes = 0;
+  /// Size of the current body that the client has been told.
+  std::size_t accounted_body_bytes = 0;
+  bool header_checked = false;
+  /// Hashes of the ids of the last requests that were sent on this connection.
+  boost::circular_buffer<std::size_t> sent_requests{kRememberedRequests};
   TimePoint idle_since{};
 };
 
--- a/sidecar/local_executor.cc
+++ b/sidecar/local_executor.cc
@@ -50,11 +50,12 @@
                              RandomSource& random,
                              const HttpDialect& dialect,
                              SocketAddress upstream_address,
+                             const HttpClientSettings& responses,
                              const InstanceRetryBudgetSettings& retries)
     : clock(clock),
       timers(timers),
       dialect(dialect),
-      client(loop, clock, timers, std::move(upstream_address)),
+      client(loop, clock, timers, std::move(upstream_address), responses),
       admission(MakeAdmissionSettings(), clock, timers, random),
       retries(retries),
       retry_budget(clock, retries) {}
--- a/sidecar/local_executor.h
+++ b/sidecar/local_executor.h
@@ -33,6 +33,7 @@
                 RandomSource& random,
                 const HttpDialect& dialect,
                 SocketAddress upstream_address,
+                const HttpClientSettings& responses,
                 const InstanceRetryBudgetSettings& retries);
   ~LocalExecutor() override;
 
--- a/sidecar/routed_request.cc
+++ b/sidecar/routed_request.cc
@@ -333,7 +333,7 @@
     return false;
   }
   const bool not_run = IsNotRun(kind);
-  if (!not_run && !this->route->idempotent) {
+  if (!not_run && (!this->route->idempotent || ++this->runs >= this->route->attempts)) {
     return false;
   }
   const bool reached_instance = !not_run || kind == ErrorKind::kUpstreamShed;
--- a/sidecar/routed_request.h
+++ b/sidecar/routed_request.h
@@ -122,6 +122,8 @@
   std::vector<std::string> reached_instances;
   /// Number of sends to nodes, whatever their result.
   std::uint32_t sends = 0;
+  /// Number of sends after which the request may have run; limited by the route's attempts.
+  std::uint32_t runs = 0;
   std::uint32_t overload_refusals = 0;
   /// Number of inner calls that the last attempt made; another attempt is likely to make as many.
   std::uint32_t inner_calls = 0;
--- a/sidecar/sidecar_node.cc
+++ b/sidecar/sidecar_node.cc
@@ -2,6 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <csignal>
 #include <utility>
 
@@ -14,6 +15,9 @@
 /// is shutting down.
 constexpr Duration kTickInterval = std::chrono::milliseconds(250);
 
+/// The same while the node is shutting down.
+constexpr Duration kStopTickInterval = std::chrono::milliseconds(50);
+
 /// The load is logged every two seconds, so that the log explains a load surge with that
 /// resolution.
 constexpr std::uint32_t kTicksPerLoadLine = 8;
@@ -33,15 +37,25 @@
 /// The process exits at least this long before the end of its stop time, to avoid being killed.
 constexpr Duration kStopMargin = std::chrono::milliseconds(300);
 
+/// Share of the memory that the bodies of requests may take, and the same for those of responses. A
+/// body exists several times while it is passed on, so an eighth of each leaves room for the rest.
+constexpr std::size_t kBodyMemoryDivisor = 8;
+
 RequestRouterSettings MakeRouterSettings(const SidecarSettings& settings) {
   RequestRouterSettings router;
   router.service = settings.service;
   router.upstream_address = settings.upstream_address;
-  constexpr std::size_t kBodyMemoryDivisor = 8;
   router.max_body_bytes_in_progress = (settings.memory_mb << 20) / kBodyMemoryDivisor;
   return router;
 }
 
+HttpClientSettings MakeResponseSettings(const SidecarSettings& settings) {
+  HttpClientSettings responses;
+  responses.max_large_body_bytes = (settings.memory_mb << 20) / kBodyMemoryDivisor;
+  responses.max_body_bytes = std::min(responses.max_body_bytes, responses.max_large_body_bytes);
+  return responses;
+}
+
 }  // namespace
 
 SidecarNode::SidecarNode(boost::asio::io_context& loop,
@@ -67,6 +81,7 @@
                random,
                source.Dialect(),
                settings.upstream_address,
+               MakeResponseSettings(settings),
                settings.retries),
       router(MakeRouterSettings(settings),
              source.Dialect(),
@@ -275,7 +290,7 @@
 }
 
 void SidecarNode::OnTimer(TimePoint now) {
-  this->timers.Schedule(*this, now + kTickInterval);
+  this->timers.Schedule(*this, now + (this->stopping ? kStopTickInterval : kTickInterval));
   if (++this->ticks % kTicksPerLoadLine == 0) {
     this->LogLoad();
   }
@@ -296,12 +311,14 @@
     this->executor.Drain();
     this->peer_listener.AnnounceLeaving();
   }
+  // Connections that were accepted last get one more tick, in which their requests are read.
+  const bool done = this->callers_stopped && !this->IsBusy();
   if (since_stop >= kMinStopTime) {
+    this->callers_stopped = true;
     // Callers without another machine keep sending requests. They would keep the process running,
     // and thus the capacity of the instance unavailable, until the end of the stop time.
     this->request_listener.Stop();
   }
-  const bool done = since_stop >= kMinStopTime && !this->IsBusy();
   if (done || since_stop >= this->settings.stop_time - kStopMargin) {
     spdlog::info("event=node_stopped name={} busy={}", this->settings.name, this->IsBusy());
     this->stopped = true;
--- a/sidecar/sidecar_node.h
+++ b/sidecar/sidecar_node.h
@@ -107,6 +107,8 @@
   bool stopped = false;
   /// Whether the local instance gets no more requests because the node is shutting down.
   bool executor_draining = false;
+  /// Whether connections of callers are no longer accepted.
+  bool callers_stopped = false;
   TimePoint stop_requested_at{};
   std::uint32_t ticks = 0;
   LocalExecutorStatistics logged_statistics;
--- a/sidecar/testing/scripted_server.cc
+++ b/sidecar/testing/scripted_server.cc
@@ -13,6 +13,24 @@
   boost::asio::write(this->socket, boost::asio::buffer(bytes), ignored);
 }
 
+void ScriptedServer::Connection::SendEndlessly(std::string block) {
+  this->endless_block = std::move(block);
+  this->SendBlock();
+}
+
+void ScriptedServer::Connection::SendBlock() {
+  boost::asio::async_write(
+      this->socket, boost::asio::buffer(this->endless_block),
+      [self = this->shared_from_this()](const boost::system::error_code& error, std::size_t bytes) {
+        self->endless_bytes += bytes;
+        if (error) {
+          self->closed_by_peer = true;
+        } else {
+          self->SendBlock();
+        }
+      });
+}
+
 void ScriptedServer::Connection::Close() {
   boost::system::error_code ignored;
   this->socket.close(ignored);
--- a/sidecar/testing/scripted_server.h
+++ b/sidecar/testing/scripted_server.h
@@ -21,6 +21,11 @@
 
     /// Sends the bytes unchanged.
     void Send(const std::string& bytes);
+    /// Sends `block` again and again until the node closes the connection.
+    void SendEndlessly(std::string block);
+    /// Number of bytes that SendEndlessly() has sent.
+    std::size_t EndlessBytes() const { return this->endless_bytes; }
+
     /// Closes the connection gracefully, or with a reset.
     void Close();
     void Reset();
@@ -32,8 +37,12 @@
    private:
     friend class ScriptedServer;
 
+    void SendBlock();
+
     boost::asio::ip::tcp::socket socket;
     std::string received;
+    std::string endless_block;
+    std::size_t endless_bytes = 0;
     bool closed_by_peer = false;
     char buffer[4096];
   };
