Answer what arrives at the end of a stop, and do not restore instances that left

Cause: a stopping node closed its listener and ended in the same step. Connections that the kernel had accepted were reset although their requests had arrived, and so were requests that were not read yet. A restarted node asks others for their entries; one that could not read the registry restored an instance that the registry's list no longer contained.

InstanceDirectory ignores an entry of another node that is not newer than the last list and not in it, except while lapsed entries may come back.

--- a/masticpin/routing/instance_directory.cc
+++ b/masticpin/routing/instance_directory.cc
@@ -81,6 +81,7 @@
   if (this->AreRemovalsSuspended(now)) {
     return;
   }
+  this->list_revision = std::max(this->list_revision, revision);
   std::vector<std::string> missing;
   for (const auto& [name, instance] : this->instances) {
     if (!listed.contains(name) && instance.revision <= revision) {
@@ -95,7 +96,11 @@
 void InstanceDirectory::ApplyEntries(const std::vector<UpstreamInstance>& entries) {
   this->populated = true;
   for (const UpstreamInstance& entry : entries) {
-    this->Apply(entry);
+    const bool unlisted =
+        entry.revision <= this->list_revision && !this->instances.contains(entry.name);
+    if (!unlisted) {
+      this->Apply(entry);
+    }
   }
 }
 
--- a/masticpin/routing/instance_directory.h
+++ b/masticpin/routing/instance_directory.h
@@ -47,7 +47,9 @@
   /// that the list does not contain, except entries that are newer than the list.
   void ApplyList(const std::vector<UpstreamInstance>& list, std::uint64_t revision, TimePoint now);
 
-  /// Applies entries received from another node. Missing entries are not removed.
+  /// Applies entries received from another node. Missing entries are not removed. An entry that the
+  /// registry's own list no longer contained at a later revision is ignored: the other node may
+  /// have been unable to read the registry for a long time.
   void ApplyEntries(const std::vector<UpstreamInstance>& entries);
 
   /// Records that the registry has no entry of this name at `revision`. Has the same effect as a
@@ -103,6 +105,8 @@
   std::unordered_map<std::string, std::uint64_t, StringHash, std::equal_to<>> removal_revisions;
   std::vector<InstanceDirectoryObserver*> observers;
   bool populated = false;
+  /// Revision of the latest list whose missing entries were removed.
+  std::uint64_t list_revision = 0;
   bool registry_was_unavailable = false;
   TimePoint registry_unavailable_at{};
 };
--- a/masticpin/routing/instance_directory_test.cc
+++ b/masticpin/routing/instance_directory_test.cc
@@ -69,6 +69,31 @@
   EXPECT_EQ(this->directory.Find("i-1"), nullptr);
 }
 
+// Guards against an instance that left and is used again after a restart: a node that has just read
+// the registry's list accepted the entry from a node that could not read the registry since.
+TEST_F(InstanceDirectoryTest, EntryOfPeerDoesNotRestoreWhatTheListNoLongerContains) {
+  this->directory.ApplyList({Instance("i-1", "192.0.2.2", 10)}, 40, this->now);
+  this->directory.ApplyEntries({Instance("i-gone", "192.0.2.3", 30)});
+  EXPECT_EQ(this->directory.Find("i-gone"), nullptr);
+  // Newer than the list, so the list could not contain it.
+  this->directory.ApplyEntries({Instance("i-new", "192.0.2.4", 41)});
+  EXPECT_NE(this->directory.Find("i-new"), nullptr);
+  UpstreamInstance draining = Instance("i-1", "192.0.2.2", 39);
+  draining.listed_revision = 10;
+  draining.state = InstanceState::kDraining;
+  this->directory.ApplyEntries({draining});
+  EXPECT_EQ(this->directory.Find("i-1")->state, InstanceState::kDraining);
+}
+
+// Guards against ignoring the entries of other nodes because of a list that was read while the
+// registry had lost entries.
+TEST_F(InstanceDirectoryTest, ListDuringTheGracePeriodDoesNotBarEntriesOfPeers) {
+  this->directory.OnRegistryUnavailable(this->now);
+  this->directory.ApplyList({}, 40, this->now + milliseconds(100));
+  this->directory.ApplyEntries({Instance("i-1", "192.0.2.2", 10)});
+  EXPECT_NE(this->directory.Find("i-1"), nullptr);
+}
+
 // Guards against requests that are sent to the predecessor of an instance that was restarted under
 // a new name.
 TEST_F(InstanceDirectoryTest, LaterInstanceTakesTheAddress) {
--- a/sidecar/sidecar_recovery_test.cc
+++ b/sidecar/sidecar_recovery_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <set>
+#include <thread>
 
 #include "sidecar/testing/sidecar_node_fixture.h"
 
@@ -351,6 +352,37 @@
   EXPECT_EQ(StatusOf(caller.Received()), 200);
 }
 
+// Guards against requests that are cut off at the end of a planned stop: connections that the
+// kernel had accepted, and requests that had arrived but were not read yet, were reset without a
+// response.
+TEST_F(SidecarRecoveryTest, RequestsThatArriveBeforeTheListenerClosesAreAnswered) {
+  this->fleet.AddMachine("page", RespondToAll);
+  this->fleet.AddRoute("r", "page", true);
+  this->fleet.Start();
+  RawCaller idle(this->fleet.Loop(), this->fleet.RequestAddress(0));
+  this->fleet.RunFor(milliseconds(20));
+  this->fleet.At(0).node->Stop();
+  this->fleet.RunFor(milliseconds(1900));
+  ASSERT_FALSE(this->fleet.At(0).node->HasStopped());
+  // The event loop does not run until the stop is due, as if the machine had no processor time.
+  constexpr int kCallers = 20;
+  std::vector<std::unique_ptr<RawCaller>> callers;
+  for (int i = 0; i < kCallers; ++i) {
+    callers.push_back(
+        std::make_unique<RawCaller>(this->fleet.Loop(), this->fleet.RequestAddress(0)));
+    callers.back()->Send(TestFleet::MakeRequest(std::to_string(i), "r"));
+  }
+  idle.Send(TestFleet::MakeRequest("idle", "r"));
+  std::this_thread::sleep_for(milliseconds(700));
+  ASSERT_TRUE(this->fleet.RunUntil([&] { return this->fleet.At(0).node->HasStopped(); }));
+  this->fleet.Kill(0);
+  this->fleet.RunFor(milliseconds(50));
+  for (const auto& caller : callers) {
+    EXPECT_EQ(caller->ResponseCount(), 1);
+  }
+  EXPECT_EQ(idle.ResponseCount(), 1);
+}
+
 // Guards against callers without another machine that delay the shutdown of a node by sending
 // further requests. In an incident, this made an instance unavailable for five seconds.
 TEST_F(SidecarRecoveryTest, BusyCallersDoNotDelayShutdown) {
@@ -442,6 +474,39 @@
   EXPECT_EQ(StatusOf(caller.Received()), 200);
 }
 
+// Guards against an instance that left and gets requests again after a node was restarted: the node
+// asked another one, which had not noticed the departure, although the registry's list was there.
+TEST_F(SidecarRecoveryTest, RestartedNodeDoesNotRestoreAnInstanceThatLeft) {
+  this->fleet.AddMachine("front", RespondToAll);
+  this->fleet.AddMachine("page", RespondToAll);
+  this->fleet.AddMachine("page", RespondToAll);
+  this->fleet.AddRoute("r", "page", true);
+  this->fleet.Start();
+  ASSERT_EQ(StatusOf(this->SendRequest(TestFleet::MakeRequest("1", "r"))), 200);
+  this->fleet.Kill(1);
+  this->fleet.RunFor(milliseconds(50));
+  this->fleet.StartNode(1);
+  // The registry no longer lists the third machine; the first node does not know it yet.
+  this->fleet.At(1).deployment->observer->OnInstanceList(
+      {this->fleet.At(0).entry, this->fleet.At(1).entry}, 100);
+  // A node without a configuration asks the nodes that connect to it.
+  const std::size_t served = this->RequestCount(1);
+  for (int i = 0; i < 50 && this->RequestCount(1) == served; ++i) {
+    this->SendRequest(TestFleet::MakeRequest("again-" + std::to_string(i), "r"));
+    this->fleet.RunFor(milliseconds(20));
+  }
+  ASSERT_GT(this->RequestCount(1), served);
+  const std::size_t before = this->RequestCount(2);
+  RawCaller caller(this->fleet.Loop(), this->fleet.RequestAddress(1));
+  constexpr int kRequests = 20;
+  for (int i = 0; i < kRequests; ++i) {
+    caller.Send(TestFleet::MakeRequest("r" + std::to_string(i), "r"));
+  }
+  this->fleet.RunUntil([&] { return caller.ResponseCount() == kRequests; });
+  EXPECT_EQ(StatusOf(caller.Received()), 200);
+  EXPECT_EQ(this->RequestCount(2), before);
+}
+
 // Guards against a node that goes back to an older configuration, which a lagging peer may send.
 TEST_F(SidecarRecoveryTest, OlderConfigurationOfPeerIsIgnored) {
   this->fleet.AddMachine("page", RespondToAll);
--- a/sidecar/tcp_acceptor.cc
+++ b/sidecar/tcp_acceptor.cc
@@ -36,6 +36,20 @@
 
 void TcpAcceptor::Stop() {
   this->timers.Cancel(*this);
+  if (!this->acceptor.is_open()) {
+    return;
+  }
+  // Closing the socket resets the connections that wait to be accepted, although their peers may
+  // already have sent requests.
+  boost::system::error_code error;
+  this->acceptor.non_blocking(true, error);
+  while (!error) {
+    boost::asio::ip::tcp::socket socket(this->acceptor.get_executor());
+    this->acceptor.accept(socket, error);
+    if (!error) {
+      this->observer.OnConnection(std::move(socket));
+    }
+  }
   boost::system::error_code ignored;  // Nothing can be done if the socket fails to close.
   this->acceptor.close(ignored);
 }
