Keep the sidecar running after an unexpected exception of one handler

Cause: an exception that left a handler of the event loop ended the process and all its requests.

Change: RunEventLoop() logs event=unexpected_error and continues.

--- a/node/sidecar_main.cc
+++ b/node/sidecar_main.cc
@@ -11,6 +11,7 @@
 #include "net/system_clock.h"
 #include "net/system_random.h"
 #include "platform/store_source.h"
+#include "sidecar/event_loop.h"
 #include "sidecar/log_sink.h"
 #include "sidecar/loop_timer_service.h"
 #include "sidecar/sidecar_node.h"
@@ -79,6 +80,6 @@
     std::cerr << "masticpin-sidecar: " << problem << "\n";
     return kExitUsage;
   }
-  loop.run();
+  masticpin::RunEventLoop(loop);
   return kExitOk;
 }
