Bound what the upstream of masticpin-node may send

Cause: the client of cpp-httplib reads header lines, interim responses and chunk lines for as long as they come; its time limit is one for each read. A worker was held beyond the deadline, and memory grew until then. A second copy of a response that does not name its request was taken for the next one.

Change: UpstreamClient performs its calls with the HttpClient of the sidecar on an event loop of its own, within the same bounds, and ends them at the deadline. A connection is reused only if the response repeated the Masticpin-Context of its request; the stand-in repeats it.

--- a/net/upstream_call.cc
+++ b/net/upstream_call.cc
@@ -1,14 +1,18 @@
 #include "net/upstream_call.h"
 
-#include <httplib.h>
+#include <utility>
 
 namespace masticpin {
 
 void UpstreamCall::Cancel() {
-  const std::lock_guard lock(this->mutex);
-  this->cancelled = true;
-  if (this->client != nullptr) {
-    this->client->stop();
+  Ref<UpstreamExchange> running;
+  {
+    const std::lock_guard lock(this->mutex);
+    this->cancelled = true;
+    running = this->exchange;
+  }
+  if (running != nullptr) {
+    running->Abort(ErrorKind::kCancelled);
   }
 }
 
@@ -17,18 +21,18 @@
   return this->cancelled;
 }
 
-bool UpstreamCall::Attach(httplib::Client& client) {
+bool UpstreamCall::Attach(Ref<UpstreamExchange> new_exchange) {
   const std::lock_guard lock(this->mutex);
   if (this->cancelled) {
     return false;
   }
-  this->client = &client;
+  this->exchange = std::move(new_exchange);
   return true;
 }
 
 void UpstreamCall::Detach() {
   const std::lock_guard lock(this->mutex);
-  this->client = nullptr;
+  this->exchange.reset();
 }
 
 }  // namespace masticpin
--- a/net/upstream_call.h
+++ b/net/upstream_call.h
@@ -2,9 +2,8 @@
 
 #include <mutex>
 
-namespace httplib {
-class Client;
-}
+#include "masticpin/base/ref_counted.h"
+#include "net/upstream_exchange.h"
 
 namespace masticpin {
 
@@ -20,11 +19,11 @@
   friend class UpstreamClient;
 
   /// Returns false if the call was cancelled before it began.
-  bool Attach(httplib::Client& client);
+  bool Attach(Ref<UpstreamExchange> new_exchange);
   void Detach();
 
   mutable std::mutex mutex;
-  httplib::Client* client = nullptr;
+  Ref<UpstreamExchange> exchange;
   bool cancelled = false;
 };
 
--- a/net/upstream_client.cc
+++ b/net/upstream_client.cc
@@ -1,157 +1,114 @@
 #include "net/upstream_client.h"
 
-#include <poll.h>
-#include <strings.h>
-
-#include <algorithm>
-#include <array>
+#include <boost/asio/post.hpp>
 #include <utility>
 
 #include "masticpin/wire/http_headers.h"
+#include "net/upstream_exchange.h"
+#include "sidecar/event_loop.h"
 
 namespace masticpin {
 namespace {
 
-bool HasLength(const httplib::Response& response) {
-  return response.has_header("Content-Length") ||
-         response.get_header_value("Transfer-Encoding") == "chunked" || response.status == 204 ||
-         response.status == 304;
+/// Maximum idle time of a connection that carries an idempotent request, which may be sent again if
+/// the upstream closes the connection at the same moment.
+constexpr Duration kMaxIdleForIdempotent = std::chrono::seconds(60);
+
+/// Maximum number of bodies of maximum size that are received at the same time.
+constexpr std::size_t kMaxLargeBodies = 32;
+
+SocketAddress AddressOf(const UpstreamClientSettings& settings) {
+  return {settings.host, static_cast<std::uint16_t>(settings.port)};
 }
 
-/// Header fields that apply to a single connection; the sender of the next hop sets its own.
-bool IsHopByHop(const std::string& name) {
-  static constexpr std::array<const char*, 4> kNames = {"Connection", "Keep-Alive",
-                                                        "Transfer-Encoding", "Content-Length"};
-  return std::any_of(kNames.begin(), kNames.end(),
-                     [&name](const char* other) { return strcasecmp(name.c_str(), other) == 0; });
+HttpClientSettings MakeClientSettings(const UpstreamClientSettings& settings) {
+  HttpClientSettings client;
+  client.connect_timeout = settings.connect_timeout;
+  client.max_body_bytes = settings.max_response_bytes;
+  client.max_large_body_bytes = settings.max_response_bytes * kMaxLargeBodies;
+  return client;
 }
 
-/// Returns true if there is nothing to read on an idle connection. cpp-httplib does not check this
-/// and would take bytes that the upstream sent without a request, such as a response sent twice,
-/// for the response to the next request.
-bool HasNoPendingData(const httplib::Client& client) {
-  if (client.is_socket_open() == 0) {
-    return true;
-  }
-  pollfd descriptor{client.socket(), POLLIN | POLLRDHUP, 0};
-  return ::poll(&descriptor, 1, 0) == 0;
+bool HasBody(const wire::HttpRequest& request) {
+  return !request.body().empty() || request.method() == "POST" || request.method() == "PUT" ||
+         request.method() == "PATCH";
 }
 
-/// Returns true if the response names another execution than the request.
-bool IsForOtherRequest(const wire::HttpRequest& request, const httplib::Response& response) {
-  if (!response.has_header(kContextHeader)) {
-    return false;
-  }
-  const std::string echoed = response.get_header_value(kContextHeader);
-  return std::any_of(request.headers().begin(), request.headers().end(),
-                     [&echoed](const wire::Header& header) {
-                       return header.name() == kContextHeader && header.value() != echoed;
-                     });
+/// Returns whether the response says where its body ends. The end of any other response cannot be
+/// distinguished from a lost connection.
+bool HasLength(const HttpResponse& response) {
+  return !response.fields.Find("Content-Length").empty() ||
+         !response.fields.Find("Transfer-Encoding").empty() || response.status == 204 ||
+         response.status == 304;
 }
 
 }  // namespace
 
 UpstreamClient::UpstreamClient(const UpstreamClientSettings& settings, const Clock& clock)
-    : settings(settings), clock(clock) {}
+    : settings(settings),
+      clock(clock),
+      work(boost::asio::make_work_guard(this->loop)),
+      timers(this->loop, clock),
+      client(this->loop, clock, this->timers, AddressOf(settings), MakeClientSettings(settings)) {
+  this->thread = std::thread([this] { RunEventLoop(this->loop); });
+}
+
+UpstreamClient::~UpstreamClient() {
+  // Runs after the ends of aborted calls, which were posted before.
+  boost::asio::post(this->loop, [this] {
+    this->client.CloseIdle();
+    this->loop.stop();
+  });
+  this->thread.join();
+}
 
 Result<wire::HttpResponse> UpstreamClient::Send(const wire::HttpRequest& request,
                                                 bool idempotent,
                                                 TimePoint deadline,
                                                 UpstreamCall& call) {
-  // Prepare the request.
-  httplib::Request outgoing;
-  outgoing.method = request.method();
-  outgoing.path = request.target();
-  outgoing.body = request.body();
-  for (const wire::Header& header : request.headers()) {
-    outgoing.headers.emplace(header.name(), header.value());
-  }
-  // The size limit is checked while the body is read.
-  std::string body;
-  outgoing.content_receiver = [this, &body](const char* data, size_t size, uint64_t, uint64_t) {
-    if (body.size() + size > this->settings.max_response_bytes) {
-      return false;
-    }
-    body.append(data, size);
-    return true;
-  };
-
-  // Send the request on a connection that no other request uses.
-  Connection connection = this->TakeConnection(idempotent);
-  const Duration remaining = deadline - this->clock.Now();
-  if (remaining <= Duration::zero()) {
-    this->ReturnConnection(std::move(connection));
+  if (deadline <= this->clock.Now()) {
     return MakeError(ErrorKind::kExpiredBeforeStart);
   }
-  connection.client->set_read_timeout(
-      std::chrono::duration_cast<std::chrono::microseconds>(remaining));
-  if (!call.Attach(*connection.client)) {
-    this->ReturnConnection(std::move(connection));
+  const Ref<UpstreamExchange> exchange(
+      new UpstreamExchange(this->loop, this->client, this->MakeCall(request, idempotent)));
+  if (!call.Attach(exchange)) {
     return MakeError(ErrorKind::kCancelledBeforeStart);
   }
-  httplib::Response response;
-  httplib::Error error = httplib::Error::Success;
-  const bool sent = connection.client->send(outgoing, response, error);
+  exchange->Run(deadline);
   call.Detach();
-
-  // Map the failure to an error kind.
-  if (!sent) {
-    if (error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout) {
-      return MakeError(ErrorKind::kUpstreamUnreachable);
-    }
-    if (call.IsCancelled()) {
-      return MakeError(ErrorKind::kCancelled);
-    }
-    if (this->clock.Now() >= deadline) {
-      return MakeError(ErrorKind::kDeadlineExceeded);
-    }
-    return MakeError(ErrorKind::kUpstreamBroken, httplib::to_string(error));
-  }
-  if (!HasLength(response)) {
-    // The end of such a response cannot be distinguished from a lost connection.
-    return MakeError(ErrorKind::kUpstreamBroken,
-                     "response has neither Content-Length nor chunked encoding");
-  }
-  if (IsForOtherRequest(request, response)) {
-    return MakeError(ErrorKind::kUpstreamBroken, "response belongs to another request");
+  if (!exchange->Response().has_value()) {
+    return MakeError(exchange->Error(), exchange->ErrorReason());
   }
-  response.body = std::move(body);
-  auto result = this->Convert(response);
-  connection.last_used = this->clock.Now();
-  this->ReturnConnection(std::move(connection));
-  return result;
+  return this->Convert(*exchange->Response());
 }
 
-UpstreamClient::Connection UpstreamClient::TakeConnection(bool idempotent) {
-  {
-    const std::lock_guard lock(this->mutex);
-    while (!this->idle.empty()) {
-      Connection connection = std::move(this->idle.back());
-      this->idle.pop_back();
-      const bool fresh = this->clock.Now() - connection.last_used <= this->settings.max_idle;
-      if ((idempotent || fresh) && HasNoPendingData(*connection.client)) {
-        return connection;
-      }
+HttpCall UpstreamClient::MakeCall(const wire::HttpRequest& request, bool idempotent) const {
+  HttpCall call;
+  call.message = request.method() + " " + request.target() +
+                 " HTTP/1.1\r\nHost: " + AddressOf(this->settings).ToString() + "\r\n";
+  for (const wire::Header& header : request.headers()) {
+    call.message.append(header.name()).append(": ").append(header.value()).append("\r\n");
+    if (header.name() == kContextHeader) {
+      call.echo_name = kContextHeader;
+      call.echo_value = header.value();
     }
   }
-  Connection connection;
-  connection.client = std::make_unique<httplib::Client>(this->settings.host, this->settings.port);
-  connection.client->set_keep_alive(true);
-  connection.client->set_tcp_nodelay(true);
-  connection.client->set_url_encode(false);
-  connection.client->set_decompress(false);
-  connection.client->set_connection_timeout(this->settings.connect_timeout);
-  connection.last_used = this->clock.Now();
-  return connection;
-}
-
-void UpstreamClient::ReturnConnection(Connection connection) {
-  const std::lock_guard lock(this->mutex);
-  this->idle.push_back(std::move(connection));
+  if (HasBody(request)) {
+    call.message.append("Content-Length: " + std::to_string(request.body().size()) + "\r\n");
+  }
+  call.message.append("\r\n").append(request.body());
+  call.head = request.method() == "HEAD";
+  call.echo_required = false;
+  call.max_idle = idempotent ? kMaxIdleForIdempotent : Duration(this->settings.max_idle);
+  return call;
 }
 
-Result<wire::HttpResponse> UpstreamClient::Convert(const httplib::Response& response) const {
-  const std::string outcome = response.get_header_value(kOutcomeHeader);
+Result<wire::HttpResponse> UpstreamClient::Convert(HttpResponse& response) const {
+  if (!HasLength(response)) {
+    return MakeError(ErrorKind::kUpstreamBroken,
+                     "response has neither Content-Length nor chunked encoding");
+  }
+  const std::string_view outcome = response.fields.Find(kOutcomeHeader);
   if (outcome == "not-run" || response.status == this->shed_status) {
     return MakeError(ErrorKind::kUpstreamShed);
   }
@@ -160,14 +117,12 @@
   }
   wire::HttpResponse converted;
   converted.set_status(static_cast<std::uint32_t>(response.status));
-  converted.set_body(response.body);
-  for (const auto& [name, value] : response.headers) {
-    if (!IsHopByHop(name)) {
-      wire::Header* header = converted.add_headers();
-      header->set_name(name);
-      header->set_value(value);
-    }
-  }
+  converted.set_body(std::move(response.body));
+  response.fields.ForEachEndToEnd([&converted](const std::string& name, const std::string& value) {
+    wire::Header* header = converted.add_headers();
+    header->set_name(name);
+    header->set_value(value);
+  });
   return converted;
 }
 
--- a/net/upstream_client_test.cc
+++ b/net/upstream_client_test.cc
@@ -22,8 +22,8 @@
 /// closes the connection, or keeps it open without sending anything.
 class RawUpstream {
  public:
-  explicit RawUpstream(std::string bytes, bool keep_open = false)
-      : bytes(std::move(bytes)), keep_open(keep_open) {
+  explicit RawUpstream(std::string bytes, bool keep_open = false, std::string endless = "")
+      : bytes(std::move(bytes)), endless(std::move(endless)), keep_open(keep_open) {
     this->listener = ::socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in address{};
     address.sin_family = AF_INET;
@@ -36,6 +36,7 @@
     this->thread = std::thread([this] { this->Run(); });
   }
   ~RawUpstream() {
+    this->stopping = true;
     ::shutdown(this->listener, SHUT_RDWR);
     this->thread.join();
     ::close(this->listener);
@@ -46,6 +47,8 @@
 
   int Port() const { return this->port; }
   int Connections() const { return this->connections; }
+  /// Number of bytes sent of the endless part of the response.
+  std::size_t EndlessBytes() const { return this->endless_bytes; }
 
   /// Sends the fixed bytes on the last connection. On loopback they have arrived when this returns.
   void SendBytes() {
@@ -64,6 +67,7 @@
       (void)::recv(connection, buffer, sizeof(buffer), 0);
       this->last_connection = connection;
       this->SendBytes();
+      this->SendEndlessly(connection);
       if (this->keep_open) {
         this->kept.push_back(connection);
       } else {
@@ -72,8 +76,23 @@
     }
   }
 
+  /// Repeats the endless part until the client closes the connection or the test ends.
+  void SendEndlessly(int connection) {
+    while (!this->endless.empty() && !this->stopping) {
+      const ssize_t sent =
+          ::send(connection, this->endless.data(), this->endless.size(), MSG_NOSIGNAL);
+      if (sent < 0) {
+        return;
+      }
+      this->endless_bytes += static_cast<std::size_t>(sent);
+    }
+  }
+
   const std::string bytes;
+  const std::string endless;
   const bool keep_open;
+  std::atomic<bool> stopping = false;
+  std::atomic<std::size_t> endless_bytes = 0;
   std::vector<int> kept;
   int listener = -1;
   int port = 0;
@@ -83,7 +102,10 @@
 };
 
 /// Sends one request; returns the status, or the error kind as a negative number.
-int SendOne(UpstreamClient& client, const Clock& clock, const std::string& context = "c") {
+int SendOne(UpstreamClient& client,
+            const Clock& clock,
+            const std::string& context = "c",
+            Duration time = std::chrono::seconds(10)) {
   wire::HttpRequest request;
   request.set_method("POST");
   request.set_target("/ballot/vote");
@@ -94,8 +116,8 @@
   UpstreamCall call;
   return boost::leaf::try_handle_all(
       [&]() -> Result<int> {
-        BOOST_LEAF_AUTO(response, client.Send(request, /*idempotent=*/false,
-                                              clock.Now() + std::chrono::seconds(10), call));
+        BOOST_LEAF_AUTO(response,
+                        client.Send(request, /*idempotent=*/false, clock.Now() + time, call));
         return static_cast<int>(response.status());
       },
       [](ErrorKind kind) { return -static_cast<int>(kind); }, [] { return -1000; });
@@ -166,7 +188,8 @@
 // next request.
 TEST(UpstreamClientTest, ConnectionWithPendingBytesIsNotReused) {
   const SystemClock clock;
-  RawUpstream upstream("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", /*keep_open=*/true);
+  RawUpstream upstream("HTTP/1.1 200 OK\r\nMasticpin-Context: c\r\nContent-Length: 2\r\n\r\nok",
+                       /*keep_open=*/true);
   UpstreamClientSettings settings;
   settings.host = "127.0.0.1";
   settings.port = upstream.Port();
@@ -192,6 +215,106 @@
   EXPECT_EQ(SendOne(client, clock, "mine"), -static_cast<int>(ErrorKind::kUpstreamBroken));
 }
 
+struct EndlessCase {
+  const char* name;
+  const char* start;
+  const char* block;
+};
+
+class EndlessUpstreamTest : public testing::TestWithParam<EndlessCase> {};
+
+// Guards against an upstream that sends bytes without end: header lines and interim responses were
+// read for as long as they came, also beyond the deadline, and a status line of some 100 KB ended
+// the process.
+TEST_P(EndlessUpstreamTest, IsCutOffAndMayHaveRun) {
+  std::string block;
+  while (block.size() < 65536) {
+    block += GetParam().block;
+  }
+  const SystemClock clock;
+  RawUpstream upstream(GetParam().start, /*keep_open=*/true, block);
+  UpstreamClientSettings settings;
+  settings.host = "127.0.0.1";
+  settings.port = upstream.Port();
+  UpstreamClient client(settings, clock);
+  const TimePoint start = clock.Now();
+  EXPECT_EQ(SendOne(client, clock), -static_cast<int>(ErrorKind::kUpstreamBroken));
+  // Far below the deadline of 10 s.
+  EXPECT_LT(clock.Now() - start, std::chrono::seconds(3));
+  EXPECT_LT(upstream.EndlessBytes(), std::size_t{16} << 20);
+}
+
+// Guards against an endless response that arrives slowly and holds a worker beyond the deadline:
+// the time limit was one for each read.
+TEST_P(EndlessUpstreamTest, SlowBytesEndAtTheDeadline) {
+  const SystemClock clock;
+  RawUpstream upstream(GetParam().start, /*keep_open=*/true, "");
+  UpstreamClientSettings settings;
+  settings.host = "127.0.0.1";
+  settings.port = upstream.Port();
+  UpstreamClient client(settings, clock);
+  const TimePoint start = clock.Now();
+  std::atomic<bool> ended = false;
+  std::thread drip([&] {
+    while (!ended) {
+      upstream.SendBytes();
+      std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
+  });
+  const int result = SendOne(client, clock, "c", std::chrono::milliseconds(400));
+  ended = true;
+  drip.join();
+  EXPECT_TRUE(result == -static_cast<int>(ErrorKind::kDeadlineExceeded) ||
+              result == -static_cast<int>(ErrorKind::kUpstreamBroken))
+      << result;
+  EXPECT_LT(clock.Now() - start, std::chrono::seconds(2));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    EndlessUpstreamTest,
+    testing::Values(
+        EndlessCase{"StatusLine", "HTTP/1.1 200 ", "xxxx"},
+        EndlessCase{"Header", "HTTP/1.1 200 OK\r\n", "X-Field: value\r\n"},
+        EndlessCase{"HeaderLine", "HTTP/1.1 200 OK\r\nX-Field: ", "xxxx"},
+        EndlessCase{"InterimResponses", "HTTP/1.1 100 Continue\r\n\r\n",
+                    "HTTP/1.1 100 Continue\r\n\r\n"},
+        EndlessCase{"ChunkExtension",
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;e=", "xxxx"},
+        EndlessCase{"Trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+                    "X-Trailer: x\r\n"},
+        EndlessCase{"ChunkedBody", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                    "4\r\nxxxx\r\n"},
+        EndlessCase{"BodyWithoutLength", "HTTP/1.1 200 OK\r\n\r\n", "xxxx"}),
+    [](const testing::TestParamInfo<EndlessCase>& param) { return std::string(param.param.name); });
+
+// Guards against a late second copy of a response that does not say to which request it belongs, on
+// a connection that is in use again: the next caller got it for its own.
+TEST(UpstreamClientTest, ConnectionIsReusedOnlyIfResponsesNameTheirRequest) {
+  const SystemClock clock;
+  for (const bool echoed : {false, true}) {
+    RawUpstream upstream(std::string("HTTP/1.1 200 OK\r\n") +
+                             (echoed ? "Masticpin-Context: c\r\n" : "") +
+                             "Content-Length: 2\r\n\r\nok",
+                         /*keep_open=*/true);
+    UpstreamClientSettings settings;
+    settings.host = "127.0.0.1";
+    settings.port = upstream.Port();
+    UpstreamClient client(settings, clock);
+    EXPECT_EQ(SendOne(client, clock, "c"), 200);
+    // The upstream responds to the first request of a connection only, so a second request with
+    // another context gets no response on it.
+    const int second = SendOne(client, clock, "d", std::chrono::milliseconds(300));
+    if (echoed) {
+      EXPECT_EQ(second, -static_cast<int>(ErrorKind::kDeadlineExceeded));
+      EXPECT_EQ(upstream.Connections(), 1);
+    } else {
+      EXPECT_EQ(second, 200);
+      EXPECT_EQ(upstream.Connections(), 2);
+    }
+  }
+}
+
 // Guards against reporting an unknown outcome for a request that certainly did not run.
 TEST(UpstreamClientTest, RefusedConnectionIsNotRun) {
   const SystemClock clock;
--- a/standins/upstream_server.cc
+++ b/standins/upstream_server.cc
@@ -80,6 +80,10 @@
   ConnectionWatch watch;
   const UpstreamResponse result = this->upstream.Handle(ReadRequest(request), watch);
   response.status = result.status;
+  const std::string context = request.get_header_value(kContextHeader);
+  if (!context.empty()) {
+    response.set_header(kContextHeader, context);
+  }
   if (!result.outcome.empty()) {
     response.set_header(kOutcomeHeader, result.outcome);
     response.set_content(result.body, "text/plain");
