--- a/sidecar/catalog_store.h
+++ b/sidecar/catalog_store.h
@@ -19,6 +19,9 @@
   /// Fills `request` for a query to peers. Returns false if no query is needed because the registry
   /// is available and a configuration is known.
   virtual bool NeedsCatalog(wire::CatalogRequest& request) const = 0;
+
+  /// Version of the configuration in force; 0 if there is none.
+  virtual std::uint64_t ConfigurationVersion() const = 0;
 };
 
 }  // namespace masticpin
--- a/sidecar/deployment_source.h
+++ b/sidecar/deployment_source.h
@@ -24,6 +24,9 @@
   /// down.
   virtual void RefreshLocalInstance() = 0;
 
+  /// Reads the configuration immediately. Used when other nodes have a newer one.
+  virtual void RefreshConfiguration() = 0;
+
   /// Names of the header fields and paths that the platform uses.
   virtual const HttpDialect& Dialect() const = 0;
 };
--- a/sidecar/peer_link.cc
+++ b/sidecar/peer_link.cc
@@ -146,6 +146,7 @@
     case wire::PeerFrame::kReply: {
       const wire::ExecutionReply& reply = frame.reply();
       this->observer.OnPeerLoad(this->instance, DecodeLoadReport(reply.load()));
+      this->observer.OnPeerConfigurationVersion(reply.configuration_version());
       const auto found = this->calls.find(reply.call());
       if (found != this->calls.end()) {
         ExecutionObserver* const finished_observer = found->second;
@@ -156,6 +157,7 @@
     }
     case wire::PeerFrame::kKeepAliveReply:
       this->observer.OnPeerLoad(this->instance, DecodeLoadReport(frame.keep_alive_reply().load()));
+      this->observer.OnPeerConfigurationVersion(frame.keep_alive_reply().configuration_version());
       break;
     case wire::PeerFrame::kCatalogRequest: {
       wire::PeerFrame catalog_frame;
--- a/sidecar/peer_link_observer.h
+++ b/sidecar/peer_link_observer.h
@@ -13,6 +13,9 @@
 
   virtual void OnPeerLoad(std::string_view instance, const LoadReport& load) = 0;
 
+  /// Called with the version of the configuration that the peer has in force.
+  virtual void OnPeerConfigurationVersion(std::uint64_t version) = 0;
+
   /// Called when the peer is about to shut down.
   virtual void OnPeerLeaving(std::string_view instance) = 0;
 
--- a/sidecar/peer_session.cc
+++ b/sidecar/peer_session.cc
@@ -83,6 +83,8 @@
     case wire::PeerFrame::kKeepAlive: {
       wire::PeerFrame reply;
       EncodeLoadReport(this->executor.GetLoad(), *reply.mutable_keep_alive_reply()->mutable_load());
+      reply.mutable_keep_alive_reply()->set_configuration_version(
+          this->catalog_store.ConfigurationVersion());
       this->stream->Send(reply);
       break;
     }
@@ -126,6 +128,7 @@
   *frame.mutable_reply() = reply;
   frame.mutable_reply()->set_call(this->peer_call_id);
   PeerSession& owner = this->session;
+  frame.mutable_reply()->set_configuration_version(owner.catalog_store.ConfigurationVersion());
   owner.stream->Send(frame);
   owner.executions.erase(this->peer_call_id);  // Destroys this object.
 }
--- a/sidecar/sidecar_node.cc
+++ b/sidecar/sidecar_node.cc
@@ -211,6 +211,10 @@
   this->balancer.OnLoad(instance, load);
 }
 
+void SidecarNode::OnPeerConfigurationVersion(std::uint64_t version) {
+  this->version_lag.OnPeerVersion(version, this->ConfigurationVersion(), this->clock.Now());
+}
+
 void SidecarNode::OnPeerLeaving(std::string_view instance) {
   spdlog::info("event=peer_leaving instance={}", instance);
   this->balancer.OnNodeLeaving(instance);
@@ -255,8 +259,23 @@
 }
 
 bool SidecarNode::NeedsCatalog(wire::CatalogRequest& request) const {
-  request.set_configuration_version(this->router.ConfigurationVersion());
-  return this->registry_unavailable || this->router.ConfigurationVersion() == 0;
+  const std::uint64_t version = this->ConfigurationVersion();
+  request.set_configuration_version(version);
+  return this->registry_unavailable || version == 0 ||
+         this->version_lag.IsBehind(version, this->clock.Now());
+}
+
+std::uint64_t SidecarNode::ConfigurationVersion() const {
+  return this->router.ConfigurationVersion();
+}
+
+void SidecarNode::CheckVersionLag(TimePoint now) {
+  const std::uint64_t version = this->ConfigurationVersion();
+  if (this->version_lag.TryStartRead(version, now)) {
+    spdlog::warn("event=configuration_behind version={} peer_version={}", version,
+                 this->version_lag.PeerVersion());
+    this->source.RefreshConfiguration();
+  }
 }
 
 void SidecarNode::UpdateLocalInstance() {
@@ -300,6 +319,7 @@
   if (this->executor.ConsumeConnectionCloseSeen()) {
     this->source.RefreshLocalInstance();
   }
+  this->CheckVersionLag(now);
   if (!this->stopping) {
     return;
   }
--- a/sidecar/sidecar_node.h
+++ b/sidecar/sidecar_node.h
@@ -8,6 +8,7 @@
 
 #include "masticpin/base/clock.h"
 #include "masticpin/base/random_source.h"
+#include "masticpin/configuration/version_lag_detector.h"
 #include "masticpin/metrics/metrics_registry.h"
 #include "masticpin/routing/instance_directory.h"
 #include "masticpin/routing/zone_aware_load_balancer.h"
@@ -63,17 +64,21 @@
   void OnRegistryStillUnavailable() override;
   void OnRegistryRecovered() override;
   void OnPeerLoad(std::string_view instance, const LoadReport& load) override;
+  void OnPeerConfigurationVersion(std::uint64_t version) override;
   void OnPeerLeaving(std::string_view instance) override;
   void OnPeerClosed(std::string_view instance) override;
   void FillCatalog(const wire::CatalogRequest& request, wire::Catalog& catalog) const override;
   void ApplyCatalog(const wire::Catalog& catalog) override;
   bool NeedsCatalog(wire::CatalogRequest& request) const override;
+  std::uint64_t ConfigurationVersion() const override;
   void OnTimer(TimePoint now) override;
 
   void WaitForSignal();
   void Reload();
   void UpdateLocalInstance();
   void UpdateReady();
+  /// Reads the configuration again if peers have had a newer one for some time.
+  void CheckVersionLag(TimePoint now);
   bool IsBusy() const;
   void ExportMetrics();
   /// Logs the current load of the local instance and the number of its requests since the last
@@ -101,6 +106,7 @@
   PeerListener peer_listener;
 
   bool registry_unavailable = false;
+  VersionLagDetector version_lag;
   std::string local_instance;
   std::uint64_t local_incarnation = 0;
   bool stopping = false;
--- a/sidecar/sidecar_recovery_test.cc
+++ b/sidecar/sidecar_recovery_test.cc
@@ -507,6 +507,32 @@
   EXPECT_EQ(this->RequestCount(2), before);
 }
 
+// Guards against a node that keeps an old configuration because the answer to its watch was lost:
+// the replies of other nodes show that there is a newer one.
+TEST_F(SidecarRecoveryTest, NodeBehindItsPeersReadsTheConfigurationAgain) {
+  this->fleet.AddMachine("front", RespondToAll);
+  this->fleet.AddMachine("page", RespondToAll);
+  this->fleet.AddRoute("r", "page", true);
+  this->fleet.Start();
+  ASSERT_EQ(StatusOf(this->SendRequest(TestFleet::MakeRequest("1", "r"))), 200);
+  Route route;
+  route.name = "r2";
+  route.host = "test.example";
+  route.prefix = "/r/";
+  route.idempotent = true;
+  route.timeout = seconds(3);
+  route.destinations = {{"page", 1}};
+  this->fleet.At(1).deployment->observer->OnConfiguration(
+      Ref<const RoutingConfiguration>(new RoutingConfiguration(9, {route}, {}, RequestLimits{})));
+  ASSERT_EQ(StatusOf(this->SendRequest(TestFleet::MakeRequest("2", "r"))), 200);
+  EXPECT_EQ(this->fleet.At(0).deployment->configuration_refreshes, 0);
+  EXPECT_TRUE(this->fleet.RunUntil(
+      [&] { return this->fleet.At(0).deployment->configuration_refreshes == 1; }, seconds(2)));
+  this->fleet.RunFor(milliseconds(1000));
+  EXPECT_EQ(this->fleet.At(0).deployment->configuration_refreshes, 1);
+  EXPECT_EQ(this->fleet.At(1).deployment->configuration_refreshes, 0);
+}
+
 // Guards against a node that goes back to an older configuration, which a lagging peer may send.
 TEST_F(SidecarRecoveryTest, OlderConfigurationOfPeerIsIgnored) {
   this->fleet.AddMachine("page", RespondToAll);
--- a/sidecar/testing/fake_deployment.h
+++ b/sidecar/testing/fake_deployment.h
@@ -24,12 +24,14 @@
   void Start(DeploymentObserver& new_observer) override { this->observer = &new_observer; }
   void SetLocalInstance(const std::string& name) override { this->local_instance = name; }
   void RefreshLocalInstance() override { ++this->refreshes; }
+  void RefreshConfiguration() override { ++this->configuration_refreshes; }
   const HttpDialect& Dialect() const override { return this->dialect; }
 
   HttpDialect dialect;
   DeploymentObserver* observer = nullptr;
   std::string local_instance;
   int refreshes = 0;
+  int configuration_refreshes = 0;
 };
 
 }  // namespace masticpin
