--- a/net/upstream_exchange.cc
+++ b/net/upstream_exchange.cc
@@ -62,9 +62,7 @@
       this->response = std::move(new_response);
     }
   }
-  this->ended_condition.notify_all();
-  this->connection.reset();
-  intrusive_ptr_release(this);
+  this->OnCallEnded();
 }
 
 void UpstreamExchange::OnCallFailed(ErrorKind kind, std::string_view reason) {
@@ -76,6 +74,10 @@
       this->error_reason = std::string(reason);
     }
   }
+  this->OnCallEnded();
+}
+
+void UpstreamExchange::OnCallEnded() {
   this->ended_condition.notify_all();
   this->connection.reset();
   intrusive_ptr_release(this);
--- a/net/upstream_exchange.h
+++ b/net/upstream_exchange.h
@@ -35,6 +35,8 @@
  private:
   void OnResponse(HttpResponse new_response) override;
   void OnCallFailed(ErrorKind kind, std::string_view reason) override;
+  /// Wakes the waiting thread and releases the connection and the reference of the call.
+  void OnCallEnded();
   /// Starts the call, on the loop.
   void Start();
   /// Closes the connection of an aborted call, on the loop.
