Log when and why a node takes its instance for leaving, and requests sent after that

Cause: the logs could not tell whether a request reached a leaving instance because the node learned of the departure late, because the request had waited, or because a removal was ignored.

Change: own_instance_leaving names the kind of update, the requests in flight and those that wait; request_sent_after_leave and masticpin_executions_sent_after_leave tell of requests that are sent although the node knows; removal_suspended tells of a removal that is not applied yet.

--- a/sidecar/http_client_connection.cc
+++ b/sidecar/http_client_connection.cc
@@ -93,6 +93,7 @@
 }
 
 void HttpClientConnection::StartCall() {
+  this->observer->OnSend();
   this->sent_requests.push_back(HashId(this->call.echo_value));
   this->discarded_responses = 0;
   this->received_bytes = 0;
--- a/sidecar/local_execution.cc
+++ b/sidecar/local_execution.cc
@@ -137,6 +137,19 @@
   return message;
 }
 
+void LocalExecution::OnSend() {
+  if (!this->executor.instance_leaving) {
+    return;
+  }
+  ++this->executor.statistics.sent_after_leave;
+  const auto milliseconds = [now = this->executor.clock.Now()](TimePoint since) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now - since).count();
+  };
+  spdlog::warn("event=request_sent_after_leave id={} instance={} leaving_ms={} admitted_ms={}",
+               this->request.request_id(), this->executor.instance_name,
+               milliseconds(this->executor.leaving_since), milliseconds(this->started_at));
+}
+
 void LocalExecution::OnResponse(HttpResponse response) {
   const Ref<LocalExecution> keep(this);
   const HttpDialect& dialect = this->executor.dialect;
--- a/sidecar/local_execution.h
+++ b/sidecar/local_execution.h
@@ -42,6 +42,7 @@
 
  private:
   void OnAdmitted() override;
+  void OnSend() override;
   void OnResponse(HttpResponse response) override;
   void OnCallFailed(ErrorKind kind, std::string_view reason) override;
   void OnTimer(TimePoint now) override;
--- a/sidecar/local_executor.cc
+++ b/sidecar/local_executor.cc
@@ -95,7 +95,7 @@
   }
 }
 
-void LocalExecutor::SetInstance(const UpstreamInstance* instance) {
+void LocalExecutor::SetInstance(const UpstreamInstance* instance, std::string_view source) {
   // The registry's entry of the predecessor does not apply to the instance that replaced it.
   if (this->name_from_response && (instance == nullptr || instance->name != this->instance_name)) {
     return;
@@ -104,10 +104,12 @@
   const bool leaving = instance == nullptr ? !this->instance_name.empty()
                                            : instance->state == InstanceState::kDraining;
   if (leaving != this->instance_leaving) {
-    spdlog::info("event=own_instance_{} instance={} revision={}",
+    const LoadReport load = this->admission.GetLoad();
+    spdlog::info("event=own_instance_{} instance={} revision={} source={} in_flight={} queued={}",
                  leaving ? "leaving" : "in_service",
                  instance == nullptr ? this->instance_name : instance->name,
-                 instance == nullptr ? 0 : instance->revision);
+                 instance == nullptr ? 0 : instance->revision, source, load.in_flight, load.queued);
+    this->leaving_since = this->clock.Now();
   }
   this->instance_leaving = leaving;
   if (instance == nullptr) {
--- a/sidecar/local_executor.h
+++ b/sidecar/local_executor.h
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 
 #include "masticpin/admission/admission_controller.h"
@@ -41,8 +42,8 @@
   void Cancel(std::uint64_t call) override;
 
   /// Sets the registry's entry of the local instance; nullptr if it is not listed. An instance that
-  /// is draining or was removed gets no new requests.
-  void SetInstance(const UpstreamInstance* instance);
+  /// is draining or was removed gets no new requests. `source` names the update in the log.
+  void SetInstance(const UpstreamInstance* instance, std::string_view source);
 
   /// Sets the number of instances of the local service, which share the retry budget; 0 if unknown.
   void SetInstanceCount(std::size_t count) { this->instance_count = count; }
@@ -101,6 +102,7 @@
   bool name_from_response = false;
   std::uint64_t incarnation = 0;
   bool instance_leaving = false;
+  TimePoint leaving_since{};
   bool draining = false;
   bool connection_close_seen = false;
 };
--- a/sidecar/local_executor_statistics.h
+++ b/sidecar/local_executor_statistics.h
@@ -19,6 +19,8 @@
   std::uint64_t retries_denied = 0;
   /// Sent to the instance, but ended without a complete and sealed response.
   std::uint64_t broken = 0;
+  /// Sent to the instance although the node knew that it is leaving.
+  std::uint64_t sent_after_leave = 0;
 };
 
 }  // namespace masticpin
--- a/sidecar/sidecar_node.cc
+++ b/sidecar/sidecar_node.cc
@@ -178,18 +178,21 @@
 void SidecarNode::OnInstanceList(const std::vector<UpstreamInstance>& list,
                                  std::uint64_t revision) {
   this->directory.ApplyList(list, revision, this->clock.Now());
-  this->UpdateLocalInstance();
+  this->UpdateLocalInstance("list");
   this->UpdateReady();
 }
 
 void SidecarNode::OnInstanceEntry(const UpstreamInstance& instance) {
   this->directory.Apply(instance);
-  this->UpdateLocalInstance();
+  this->UpdateLocalInstance("entry");
 }
 
 void SidecarNode::OnInstanceEntryMissing(std::string_view name, std::uint64_t revision) {
   this->directory.ApplyMissing(name, revision, this->clock.Now());
-  this->UpdateLocalInstance();
+  if (this->directory.Find(name) != nullptr) {
+    spdlog::info("event=removal_suspended instance={} revision={}", name, revision);
+  }
+  this->UpdateLocalInstance("entry");
 }
 
 void SidecarNode::OnRegistryUnavailable(std::string_view reason) {
@@ -253,7 +256,7 @@
   }
   if (!instances.empty()) {
     this->directory.ApplyEntries(instances);
-    this->UpdateLocalInstance();
+    this->UpdateLocalInstance("peer");
     this->UpdateReady();
   }
 }
@@ -278,10 +281,10 @@
   }
 }
 
-void SidecarNode::UpdateLocalInstance() {
+void SidecarNode::UpdateLocalInstance(std::string_view source) {
   const UpstreamInstance* local_entry =
       this->directory.FindByAddress(this->settings.upstream_address);
-  this->executor.SetInstance(local_entry);
+  this->executor.SetInstance(local_entry, source);
   this->executor.SetInstanceCount(this->balancer.CountInstances(this->settings.service));
   if (local_entry != nullptr && (local_entry->name != this->local_instance ||
                                  local_entry->incarnation != this->local_incarnation)) {
@@ -391,6 +394,9 @@
       done.retries_denied);
   set("masticpin_executions_broken", "Requests without a complete response since the start.",
       done.broken);
+  set("masticpin_executions_sent_after_leave",
+      "Requests sent to the upstream although it was known to leave, since the start.",
+      done.sent_after_leave);
   set("masticpin_upstream_connections", "Connections opened to the upstream since the start.",
       this->executor.OpenedConnections());
 }
--- a/sidecar/sidecar_node.h
+++ b/sidecar/sidecar_node.h
@@ -75,7 +75,7 @@
 
   void WaitForSignal();
   void Reload();
-  void UpdateLocalInstance();
+  void UpdateLocalInstance(std::string_view source);
   void UpdateReady();
   /// Reads the configuration again if peers have had a newer one for some time.
   void CheckVersionLag(TimePoint now);
