--- /dev/null
+++ b/sidecar/instance_leave_test.cc
@@ -0,0 +1,107 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <memory>
+#include <vector>
+
+#include "sidecar/testing/sidecar_node_fixture.h"
+
+namespace masticpin {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Requests that an instance with 8 slots gets at the same time.
+constexpr std::size_t kLimit = 7;
+
+/// A server that holds its responses until Release().
+class HoldingServer {
+ public:
+  ScriptedServer::Handler Handler() {
+    return [this](Connection& connection, const std::string& request) {
+      if (this->released) {
+        connection.Send(TestFleet::MakeResponse(request));
+      } else {
+        this->held.emplace_back(&connection, request);
+      }
+    };
+  }
+
+  void Release() {
+    this->released = true;
+    for (const auto& [connection, request] : this->held) {
+      connection->Send(TestFleet::MakeResponse(request));
+    }
+    this->held.clear();
+  }
+
+ private:
+  std::vector<std::pair<Connection*, std::string>> held;
+  bool released = false;
+};
+
+class InstanceLeaveTest : public SidecarNodeFixture {
+ protected:
+  /// Tells the nodes of the given machines that only these machines are listed.
+  void PublishOnly(const std::vector<std::size_t>& machines) {
+    std::vector<UpstreamInstance> list;
+    for (const std::size_t machine : machines) {
+      list.push_back(this->fleet.At(machine).entry);
+    }
+    for (const std::size_t machine : machines) {
+      this->fleet.At(machine).deployment->observer->OnInstanceList(list, kListRevision);
+    }
+  }
+
+  /// Tells the node beside an instance that the instance announces its departure.
+  void PublishDraining(std::size_t machine) {
+    UpstreamInstance entry = this->fleet.At(machine).entry;
+    entry.state = InstanceState::kDraining;
+    entry.revision += kListRevision;
+    this->fleet.At(machine).deployment->observer->OnInstanceEntry(entry);
+  }
+
+  static constexpr std::uint64_t kListRevision = 100;
+};
+
+// Guards against requests that reach an instance after its leave notice because they waited in the
+// queue when the notice arrived.
+TEST_F(InstanceLeaveTest, WaitingRequestsAreNotSentAfterTheInstanceLeaves) {
+  HoldingServer leaving;
+  this->fleet.AddMachine("front", RespondToAll);
+  this->fleet.AddMachine("page", leaving.Handler());
+  this->fleet.AddMachine("page", RespondToAll);
+  this->fleet.AddRoute("r", "page", false);
+  for (std::size_t machine = 0; machine < 3; ++machine) {
+    this->fleet.StartNode(machine);
+  }
+  this->fleet.PublishConfiguration();
+  this->PublishOnly({0, 1});
+
+  constexpr std::size_t kWaiting = 5;
+  std::vector<std::unique_ptr<RawCaller>> callers;
+  for (std::size_t i = 0; i < kLimit + kWaiting; ++i) {
+    callers.push_back(
+        std::make_unique<RawCaller>(this->fleet.Loop(), this->fleet.RequestAddress(0)));
+    callers.back()->Send(TestFleet::MakeRequest("q" + std::to_string(i), "r", "POST", "", "x"));
+  }
+  ASSERT_TRUE(this->fleet.RunUntil([&] { return this->RequestCount(1) == kLimit; }));
+  this->fleet.RunFor(milliseconds(20));
+  ASSERT_EQ(this->RequestCount(1), kLimit);
+
+  this->PublishOnly({0, 1, 2});
+  this->PublishDraining(1);
+  leaving.Release();
+  EXPECT_TRUE(this->fleet.RunUntil([&] {
+    return std::all_of(callers.begin(), callers.end(),
+                       [](const auto& caller) { return caller->ResponseCount() == 1; });
+  }));
+  EXPECT_EQ(this->RequestCount(1), kLimit);
+  EXPECT_EQ(this->RequestCount(2), kWaiting);
+  for (const auto& caller : callers) {
+    EXPECT_EQ(StatusOf(caller->Received()), 200);
+  }
+}
+
+}  // namespace
+}  // namespace masticpin
