Refuse the requests that wait when the instance leaves

Callers saw: requests that waited at the node beside an instance were sent to it after the node had read that it leaves, up to 100 ms (inner calls 400 ms) later.

Cause: LocalExecutor::Execute() checked the state of the instance when a request arrived, and nothing checked it when the request left the queue. A decision was made at one time and carried out at another.

--- a/masticpin/admission/admission_controller.cc
+++ b/masticpin/admission/admission_controller.cc
@@ -132,6 +132,10 @@
 
 void AdmissionController::Drain() {
   this->draining = true;
+  this->RefuseWaiting();
+}
+
+void AdmissionController::RefuseWaiting() {
   const TimePoint now = this->clock.Now();
   while (!this->queue.IsEmpty()) {
     AdmissionRequest& request = this->queue.HighestPriority();
--- a/masticpin/admission/admission_controller.h
+++ b/masticpin/admission/admission_controller.h
@@ -56,6 +56,9 @@
   /// requests run to completion.
   void Drain();
 
+  /// Refuses all waiting requests with kDraining. Later offers are not affected.
+  void RefuseWaiting();
+
   bool IsDraining() const { return this->draining; }
 
   /// Returns the load report for other nodes. Its limit is 0 while the upstream is unreachable.
--- a/masticpin/admission/admission_controller_test.cc
+++ b/masticpin/admission/admission_controller_test.cc
@@ -227,6 +227,18 @@
   EXPECT_EQ(running.GetState(), AdmissionRequest::State::kAdmitted);
 }
 
+// Guards against an upstream that is refused requests for good after it was only emptied once, as it
+// is when its predecessor at the same address leaves.
+TEST_F(AdmissionControllerTest, RefusingTheWaitingRequestsDoesNotAffectLaterOnes) {
+  RecordedRequest& running = this->Offer(0);
+  RecordedRequest& waiting = this->Offer(0);
+  this->controller.RefuseWaiting();
+  EXPECT_EQ(waiting.refusal, ErrorKind::kDraining);
+  RecordedRequest& later = this->Offer(0);
+  this->controller.Complete(running, Completion::kSuccess, milliseconds(1));
+  EXPECT_EQ(later.admitted, 1);
+}
+
 // Guards against requests that wait for, or fail at, an upstream that accepts no connections.
 TEST_F(AdmissionControllerTest, RefusesQuicklyAndProbesWhileTheUpstreamIsUnreachable) {
   RecordedRequest& running = this->Offer(5);
--- a/sidecar/local_executor.cc
+++ b/sidecar/local_executor.cc
@@ -112,6 +112,10 @@
     this->leaving_since = this->clock.Now();
   }
   this->instance_leaving = leaving;
+  if (leaving) {
+    // They were not run. Their callers' nodes send them to other instances.
+    this->admission.RefuseWaiting();
+  }
   if (instance == nullptr) {
     return;
   }
