Do not send a misdirected request again to an instance that leaves

Callers saw: a request that the instance had answered with 421 was sent to it a second time, also if the instance had announced its departure in the meantime; without a name in the 421, it waited for the deadline.

Cause: LocalExecution::OnResponse() offered the request again without looking at the state of the instance.

Change: it replies kDraining, not run, if the executor refuses all requests.

Measured: MisdirectedRequestIsNotSentAgainAfterTheInstanceLeaves failed before (the request reached the leaving instance twice, the other one never) and passes now.

--- a/sidecar/instance_leave_test.cc
+++ b/sidecar/instance_leave_test.cc
@@ -103,5 +103,35 @@
   }
 }
 
+// Guards against a request that is sent a second time, after a 421, to an instance that has announced
+// its departure meanwhile.
+TEST_F(InstanceLeaveTest, MisdirectedRequestIsNotSentAgainAfterTheInstanceLeaves) {
+  Connection* waiting = nullptr;
+  std::string first;
+  this->fleet.AddMachine("front", RespondToAll);
+  this->fleet.AddMachine("page", [&](Connection& connection, const std::string& request) {
+    waiting = &connection;
+    first = request;
+  });
+  this->fleet.AddMachine("page", RespondToAll);
+  this->fleet.AddRoute("r", "page", false);
+  for (std::size_t machine = 0; machine < 3; ++machine) {
+    this->fleet.StartNode(machine);
+  }
+  this->fleet.PublishConfiguration();
+  this->PublishOnly({0, 1});
+  RawCaller caller(this->fleet.Loop(), this->fleet.RequestAddress(0));
+  caller.Send(TestFleet::MakeRequest("m", "r", "POST", "", "x"));
+  ASSERT_TRUE(this->fleet.RunUntil([&] { return waiting != nullptr; }));
+
+  this->PublishOnly({0, 1, 2});
+  this->PublishDraining(1);
+  waiting->Send(TestFleet::MakeResponse(first, "", "", "421 Misdirected"));
+  ASSERT_TRUE(this->fleet.RunUntil([&] { return caller.ResponseCount() == 1; }));
+  EXPECT_EQ(StatusOf(caller.Received()), 200);
+  EXPECT_EQ(this->RequestCount(1), 1U);
+  EXPECT_EQ(this->RequestCount(2), 1U);
+}
+
 }  // namespace
 }  // namespace masticpin
--- a/sidecar/local_execution.cc
+++ b/sidecar/local_execution.cc
@@ -163,6 +163,10 @@
   if (response.status == 421) {
     this->executor.OnInstanceNameReported(std::string(response.fields.Find(dialect.instance_name)));
     this->EndRun(Completion::kFailed);
+    if (this->executor.RefusesAll()) {
+      this->ReplyError(ErrorKind::kDraining, false, Duration::zero());
+      return;
+    }
     if (!this->misdirected && this->observer != nullptr) {
       this->misdirected = true;
       this->Start();
--- a/sidecar/local_executor.cc
+++ b/sidecar/local_executor.cc
@@ -74,7 +74,7 @@
     return;
   }
   ++this->statistics.offered;
-  const bool refuses_all = this->instance_leaving || this->draining;
+  const bool refuses_all = this->RefusesAll();
   const bool granted = refuses_all || request.granted_elsewhere() || this->TryGrantRetry(request);
   const Ref<LocalExecution> execution(new LocalExecution(*this, std::move(request), observer));
   this->executions.emplace(execution->Call(), execution);
@@ -177,7 +177,7 @@
 
 LoadReport LocalExecutor::GetLoad() const {
   LoadReport load = this->admission.GetLoad();
-  if (this->instance_leaving || this->draining) {
+  if (this->RefusesAll()) {
     load.limit = 0;
   }
   load.retries_left = this->retry_budget.RetriesLeft(this->instance_count);
--- a/sidecar/local_executor.h
+++ b/sidecar/local_executor.h
@@ -71,6 +71,9 @@
  private:
   friend class LocalExecution;
 
+  /// Whether the instance gets no new requests.
+  bool RefusesAll() const { return this->instance_leaving || this->draining; }
+
   /// Called when a response reported the name of the running instance. After a restart, the
   /// registry lags behind.
   void OnInstanceNameReported(const std::string& name);
