Refuse the requests that wait for a connection when the instance leaves

Callers saw: a request that had left the queue but had no connection yet was sent when the instance accepted one, up to 1 s after the notice, or was held until the attempt to connect timed out.

Cause: the same as for requests in the queue: the state of the instance was not looked at again between the decision and the send.

Change: LocalExecutor::RefuseUnsent() also ends admitted requests whose connection is still being opened. No byte of them was sent, so kDraining, not run, is true and other instances serve them.

Measured: RequestWithoutAConnectionIsSentElsewhereWhenTheInstanceLeaves failed before (no answer within 300 ms) and passes now.

--- a/sidecar/http_client_connection.cc
+++ b/sidecar/http_client_connection.cc
@@ -55,6 +55,7 @@
                                    HttpCallObserver& new_observer) {
   this->call = std::move(new_call);
   this->observer = &new_observer;
+  this->connecting = true;
   this->timers.Schedule(*this, this->clock.Now() + this->client.settings.connect_timeout);
   this->socket.async_connect(ToEndpoint(address), [self = Ref<HttpClientConnection>(this)](
                                                       const boost::system::error_code& error) {
@@ -62,6 +63,7 @@
     if (self->closed) {
       return;
     }
+    self->connecting = false;
     if (error) {
       self->Fail(ErrorKind::kUpstreamUnreachable, error.message());
       return;
--- a/sidecar/http_client_connection.h
+++ b/sidecar/http_client_connection.h
@@ -46,6 +46,9 @@
   /// disconnect and cancels it.
   void Close();
 
+  /// Whether the connection is still being opened, so that no byte of the call was sent.
+  bool IsConnecting() const { return this->connecting; }
+
   /// Whether the same request was sent on this connection before. A second copy of its response may
   /// still arrive and could not be told from the response to the second send.
   bool HasSent(const HttpCall& next_call) const;
@@ -93,6 +96,7 @@
   std::string input;
   HttpCall call;
   HttpCallObserver* observer = nullptr;
+  bool connecting = false;
   bool writing = false;
   bool reading = false;
   bool closed = false;
--- a/sidecar/instance_leave_test.cc
+++ b/sidecar/instance_leave_test.cc
@@ -4,6 +4,7 @@
 #include <memory>
 #include <vector>
 
+#include "sidecar/tcp_address.h"
 #include "sidecar/testing/sidecar_node_fixture.h"
 
 namespace masticpin {
@@ -133,5 +134,35 @@
   EXPECT_EQ(this->RequestCount(2), 1U);
 }
 
+// Guards against a request that waits for a connection when its instance announces its departure: it
+// was sent as soon as the instance accepted the connection, or kept until the attempt timed out.
+TEST_F(InstanceLeaveTest, RequestWithoutAConnectionIsSentElsewhereWhenTheInstanceLeaves) {
+  this->fleet.AddMachine("front", RespondToAll);
+  this->fleet.AddMachine("page", RespondToAll);
+  this->fleet.AddMachine("page", RespondToAll);
+  this->fleet.AddRoute("r", "page", false);
+  for (std::size_t machine = 0; machine < 3; ++machine) {
+    this->fleet.StartNode(machine);
+  }
+  this->fleet.PublishConfiguration();
+  this->PublishOnly({0, 1});
+  // A server with a full backlog: the kernel drops further SYNs.
+  this->fleet.At(1).upstream->StopListening();
+  boost::asio::ip::tcp::acceptor full(this->fleet.Loop());
+  const SocketAddress& address = this->fleet.At(1).entry.address;
+  ASSERT_EQ(OpenAcceptor(full, address, 0), "");
+  const RawCaller occupant(this->fleet.Loop(), address);
+  RawCaller caller(this->fleet.Loop(), this->fleet.RequestAddress(0));
+  caller.Send(TestFleet::MakeRequest("c", "r", "POST", "", "x"));
+  this->fleet.RunFor(milliseconds(50));
+  ASSERT_EQ(caller.ResponseCount(), 0);
+
+  this->PublishOnly({0, 1, 2});
+  this->PublishDraining(1);
+  EXPECT_TRUE(
+      this->fleet.RunUntil([&] { return caller.ResponseCount() == 1; }, milliseconds(300)));
+  EXPECT_EQ(this->RequestCount(2), 1U);
+}
+
 }  // namespace
 }  // namespace masticpin
--- a/sidecar/local_execution.cc
+++ b/sidecar/local_execution.cc
@@ -107,6 +107,16 @@
   this->connection = this->executor.client.Call(std::move(call), *this);
 }
 
+void LocalExecution::RefuseIfUnsent() {
+  if (!this->is_running || !this->connection->IsConnecting()) {
+    return;
+  }
+  const Ref<LocalExecution> keep(this);
+  this->connection->Close();
+  this->EndRun(Completion::kCancelled);
+  this->ReplyError(ErrorKind::kDraining, false, Duration::zero());
+}
+
 void LocalExecution::OnRefused(ErrorKind kind, Duration retry_after) {
   this->ReplyError(kind, false, retry_after);
 }
--- a/sidecar/local_execution.h
+++ b/sidecar/local_execution.h
@@ -37,6 +37,9 @@
   /// Ends the execution without a callback, even a non-idempotent run. Used when the process exits.
   void Abandon();
 
+  /// Ends the execution with kDraining if the request was admitted but not sent yet.
+  void RefuseIfUnsent();
+
   /// Ends the execution with an error; the request was not run.
   void OnRefused(ErrorKind kind, Duration retry_after) override;
 
--- a/sidecar/local_executor.cc
+++ b/sidecar/local_executor.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 #include "sidecar/local_execution.h"
 
@@ -113,8 +114,7 @@
   }
   this->instance_leaving = leaving;
   if (leaving) {
-    // They were not run. Their callers' nodes send them to other instances.
-    this->admission.RefuseWaiting();
+    this->RefuseUnsent();
   }
   if (instance == nullptr) {
     return;
@@ -128,6 +128,18 @@
   this->admission.SetCeiling(CeilingFor(instance->slots));
 }
 
+void LocalExecutor::RefuseUnsent() {
+  this->admission.RefuseWaiting();
+  // An ended execution removes itself, and its observer may start another one.
+  std::vector<Ref<LocalExecution>> admitted;
+  for (const auto& [call, execution] : this->executions) {
+    admitted.push_back(execution);
+  }
+  for (const Ref<LocalExecution>& execution : admitted) {
+    execution->RefuseIfUnsent();
+  }
+}
+
 void LocalExecutor::OnInstanceNameReported(const std::string& name) {
   if (name.empty() || name == this->instance_name) {
     return;
--- a/sidecar/local_executor.h
+++ b/sidecar/local_executor.h
@@ -74,6 +74,10 @@
   /// Whether the instance gets no new requests.
   bool RefusesAll() const { return this->instance_leaving || this->draining; }
 
+  /// Refuses the requests that were accepted but not sent to the instance. They were not run, so
+  /// the nodes of their callers send them to other instances.
+  void RefuseUnsent();
+
   /// Called when a response reported the name of the running instance. After a restart, the
   /// registry lags behind.
   void OnInstanceNameReported(const std::string& name);
