Apply a removal that was read during a grace period at its end, and start none after a short outage

Callers saw: an instance whose entry was removed went on getting requests until the next list after the grace period of an outage, up to 3.5 s on Kano and 7 s on the large sites, and any single failed call of the registry counted as an outage.

Cause: InstanceDirectory dropped a removal that arrived while removals are suspended, and the watch does not report it again. Entries expire after three silent heartbeats, so that an outage of less than two intervals cannot be the reason of a removal.

Measured: RemovalReadAfterAnOutageNeedsNoFurtherList fails without the call of ApplySuspendedRemovals() and passes with it; SuspendedRemovalTakesEffectAtTheEndOfTheGracePeriod, ShortOutageSuspendsNoRemovals and ShortOutageDoesNotEndTheGracePeriodOfALongOne pass.

--- a/masticpin/routing/instance_directory.cc
+++ b/masticpin/routing/instance_directory.cc
@@ -104,25 +104,45 @@
   }
 }
 
-void InstanceDirectory::ApplyMissing(std::string_view name, std::uint64_t revision, TimePoint now) {
+bool InstanceDirectory::ApplyMissing(std::string_view name, std::uint64_t revision, TimePoint now) {
   if (!this->AreRemovalsSuspended(now)) {
     this->Remove(name, revision);
+    return true;
+  }
+  if (this->instances.contains(name)) {
+    this->suspended_removals[std::string(name)] = revision;
   }
+  return false;
 }
 
-bool InstanceDirectory::AreRemovalsSuspended(TimePoint now) {
-  if (this->registry_was_unavailable &&
-      now - this->registry_unavailable_at >= this->settings.removal_grace_period) {
-    this->registry_was_unavailable = false;
+bool InstanceDirectory::ApplySuspendedRemovals(TimePoint now) {
+  if (this->suspended_removals.empty() || this->AreRemovalsSuspended(now)) {
+    return false;
   }
-  return this->registry_was_unavailable;
+  for (const auto& [name, revision] : std::exchange(this->suspended_removals, {})) {
+    this->Remove(name, revision);
+  }
+  return true;
+}
+
+bool InstanceDirectory::AreRemovalsSuspended(TimePoint now) const {
+  return now < this->removals_suspended_until ||
+         (this->registry_unavailable_at &&
+          now < *this->registry_unavailable_at + this->settings.removal_grace_period);
 }
 
 void InstanceDirectory::OnRegistryUnavailable(TimePoint now) {
-  this->registry_was_unavailable = true;
   this->registry_unavailable_at = now;
 }
 
+void InstanceDirectory::OnRegistryRecovered(Duration outage) {
+  if (this->registry_unavailable_at && outage >= this->settings.min_expiry_outage) {
+    this->removals_suspended_until =
+        *this->registry_unavailable_at + this->settings.removal_grace_period;
+  }
+  this->registry_unavailable_at.reset();
+}
+
 const UpstreamInstance* InstanceDirectory::Find(std::string_view name) const {
   const auto found = this->instances.find(name);
   return found == this->instances.end() ? nullptr : &found->second;
--- a/masticpin/routing/instance_directory.h
+++ b/masticpin/routing/instance_directory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -17,6 +18,9 @@
   /// in the meantime are written again within two seconds of its recovery if their instances still
   /// run.
   Duration removal_grace_period = std::chrono::milliseconds(2500);
+  /// Shortest outage of the registry in which an entry can expire. Entries expire after three
+  /// heartbeat intervals of silence, the first of which may have begun before the outage.
+  Duration min_expiry_outage = std::chrono::milliseconds(3000);
 };
 
 /// The instances of the deployment, ordered by the registry's revisions. Updates may come from
@@ -53,13 +57,21 @@
   void ApplyEntries(const std::vector<UpstreamInstance>& entries);
 
   /// Records that the registry has no entry of this name at `revision`. Has the same effect as a
-  /// list without it.
-  void ApplyMissing(std::string_view name, std::uint64_t revision, TimePoint now);
+  /// list without it. Returns false if the removal is suspended; it then takes effect in
+  /// ApplySuspendedRemovals(), unless a newer entry arrives before that.
+  bool ApplyMissing(std::string_view name, std::uint64_t revision, TimePoint now);
 
-  /// Records that the registry did not respond. Removals implied by later lists are suspended for
-  /// `removal_grace_period`.
+  /// Applies the removals that were suspended, if they no longer are. Returns whether there were
+  /// any.
+  bool ApplySuspendedRemovals(TimePoint now);
+
+  /// Records that the registry did not respond. Removals are suspended for `removal_grace_period`.
   void OnRegistryUnavailable(TimePoint now);
 
+  /// Records that the registry responds again. `outage` is the time between its last two responses.
+  /// After an outage shorter than `min_expiry_outage`, removals take effect at once.
+  void OnRegistryRecovered(Duration outage);
+
   /// Returns the instance of this name, or nullptr.
   const UpstreamInstance* Find(std::string_view name) const;
 
@@ -93,7 +105,7 @@
 
   /// Whether missing entries are kept because the registry was unavailable and they may be written
   /// again.
-  bool AreRemovalsSuspended(TimePoint now);
+  bool AreRemovalsSuspended(TimePoint now) const;
 
   const SocketAddress local_address;
   const std::string local_service;
@@ -107,8 +119,12 @@
   bool populated = false;
   /// Revision of the latest list whose missing entries were removed.
   std::uint64_t list_revision = 0;
-  bool registry_was_unavailable = false;
-  TimePoint registry_unavailable_at{};
+  /// Suspended removals: revision by instance name.
+  std::unordered_map<std::string, std::uint64_t, StringHash, std::equal_to<>> suspended_removals;
+  /// Time of the last failed call of the present outage; of none if it is over.
+  std::optional<TimePoint> registry_unavailable_at;
+  /// End of the suspension of removals after earlier outages.
+  TimePoint removals_suspended_until{};
 };
 
 }  // namespace masticpin
--- a/masticpin/routing/instance_directory_test.cc
+++ b/masticpin/routing/instance_directory_test.cc
@@ -69,6 +69,43 @@
   EXPECT_EQ(this->directory.Find("i-1"), nullptr);
 }
 
+// Guards against an instance that is used until the next list because its removal was read while
+// removals were suspended.
+TEST_F(InstanceDirectoryTest, SuspendedRemovalTakesEffectAtTheEndOfTheGracePeriod) {
+  this->directory.Apply(Instance("i-1", "192.0.2.2", 10));
+  this->directory.Apply(Instance("i-2", "192.0.2.3", 11));
+  this->directory.OnRegistryUnavailable(this->now);
+  this->directory.OnRegistryRecovered(seconds(5));
+  EXPECT_FALSE(this->directory.ApplyMissing("i-1", 20, this->now + milliseconds(100)));
+  EXPECT_FALSE(this->directory.ApplyMissing("i-2", 20, this->now + milliseconds(100)));
+  EXPECT_FALSE(this->directory.ApplySuspendedRemovals(this->now + milliseconds(2400)));
+  this->directory.Apply(Instance("i-2", "192.0.2.3", 21));
+  EXPECT_TRUE(this->directory.ApplySuspendedRemovals(this->now + milliseconds(2500)));
+  EXPECT_EQ(this->directory.Find("i-1"), nullptr);
+  EXPECT_NE(this->directory.Find("i-2"), nullptr);
+}
+
+// Guards against a departure that is ignored because one call to the registry failed: an entry
+// cannot expire in so short an outage.
+TEST_F(InstanceDirectoryTest, ShortOutageSuspendsNoRemovals) {
+  this->directory.Apply(Instance("i-1", "192.0.2.2", 10));
+  this->directory.OnRegistryUnavailable(this->now);
+  this->directory.OnRegistryRecovered(milliseconds(1100));
+  EXPECT_TRUE(this->directory.ApplyMissing("i-1", 20, this->now + milliseconds(100)));
+  EXPECT_EQ(this->directory.Find("i-1"), nullptr);
+}
+
+// Guards against a second, short outage that ends the grace period of a long one before it.
+TEST_F(InstanceDirectoryTest, ShortOutageDoesNotEndTheGracePeriodOfALongOne) {
+  this->directory.Apply(Instance("i-1", "192.0.2.2", 10));
+  this->directory.OnRegistryUnavailable(this->now);
+  this->directory.OnRegistryRecovered(seconds(5));
+  this->directory.OnRegistryUnavailable(this->now + milliseconds(200));
+  this->directory.OnRegistryRecovered(milliseconds(300));
+  EXPECT_FALSE(this->directory.ApplyMissing("i-1", 20, this->now + milliseconds(400)));
+  EXPECT_NE(this->directory.Find("i-1"), nullptr);
+}
+
 // Guards against an instance that left and is used again after a restart: a node that has just read
 // the registry's list accepted the entry from a node that could not read the registry since.
 TEST_F(InstanceDirectoryTest, EntryOfPeerDoesNotRestoreWhatTheListNoLongerContains) {
--- a/sidecar/deployment_observer.h
+++ b/sidecar/deployment_observer.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "masticpin/base/ref_counted.h"
+#include "masticpin/base/time.h"
 #include "masticpin/routing/routing_configuration.h"
 #include "masticpin/routing/upstream_instance.h"
 
@@ -28,10 +29,10 @@
   virtual void OnInstanceEntryMissing(std::string_view name, std::uint64_t revision) = 0;
 
   /// Called when the registry becomes unavailable, at each further failed read, and when it
-  /// recovers.
+  /// recovers. `outage` is the time between its last two responses.
   virtual void OnRegistryUnavailable(std::string_view reason) = 0;
   virtual void OnRegistryStillUnavailable() = 0;
-  virtual void OnRegistryRecovered() = 0;
+  virtual void OnRegistryRecovered(Duration outage) = 0;
 };
 
 }  // namespace masticpin
--- a/sidecar/instance_leave_test.cc
+++ b/sidecar/instance_leave_test.cc
@@ -11,6 +11,7 @@
 namespace {
 
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 /// Requests that an instance with 8 slots gets at the same time.
 constexpr std::size_t kLimit = 7;
@@ -164,5 +165,24 @@
   EXPECT_EQ(this->RequestCount(2), 1U);
 }
 
+// Guards against an instance that stays in use for several seconds after its entry was removed: the
+// node had read the removal during the grace period after an outage, and only a later list applied it.
+TEST_F(InstanceLeaveTest, RemovalReadAfterAnOutageNeedsNoFurtherList) {
+  this->fleet.AddMachine("front", RespondToAll);
+  this->fleet.AddMachine("page", RespondToAll);
+  this->fleet.AddMachine("page", RespondToAll);
+  this->fleet.AddRoute("r", "page", true);
+  this->fleet.Start();
+  DeploymentObserver& observer = *this->fleet.At(1).deployment->observer;
+  observer.OnRegistryUnavailable("test");
+  observer.OnRegistryRecovered(seconds(5));
+  observer.OnInstanceEntryMissing("i-1", kListRevision);
+  this->fleet.RunFor(InstanceDirectorySettings().removal_grace_period + milliseconds(300));
+  for (int i = 0; i < 6; ++i) {
+    EXPECT_EQ(StatusOf(this->SendRequest(TestFleet::MakeRequest(std::to_string(i), "r"))), 200);
+  }
+  EXPECT_EQ(this->RequestCount(1), 0U);
+}
+
 }  // namespace
 }  // namespace masticpin
--- a/sidecar/sidecar_node.cc
+++ b/sidecar/sidecar_node.cc
@@ -188,8 +188,7 @@
 }
 
 void SidecarNode::OnInstanceEntryMissing(std::string_view name, std::uint64_t revision) {
-  this->directory.ApplyMissing(name, revision, this->clock.Now());
-  if (this->directory.Find(name) != nullptr) {
+  if (!this->directory.ApplyMissing(name, revision, this->clock.Now())) {
     spdlog::info("event=removal_suspended instance={} revision={}", name, revision);
   }
   this->UpdateLocalInstance("entry");
@@ -205,9 +204,11 @@
   this->directory.OnRegistryUnavailable(this->clock.Now());
 }
 
-void SidecarNode::OnRegistryRecovered() {
-  spdlog::info("event=registry_regained");
+void SidecarNode::OnRegistryRecovered(Duration outage) {
+  spdlog::info("event=registry_regained outage_ms={}",
+               std::chrono::duration_cast<std::chrono::milliseconds>(outage).count());
   this->registry_unavailable = false;
+  this->directory.OnRegistryRecovered(outage);
 }
 
 void SidecarNode::OnPeerLoad(std::string_view instance, const LoadReport& load) {
@@ -322,6 +323,9 @@
   if (this->executor.ConsumeConnectionCloseSeen()) {
     this->source.RefreshLocalInstance();
   }
+  if (this->directory.ApplySuspendedRemovals(now)) {
+    this->UpdateLocalInstance("entry");
+  }
   this->CheckVersionLag(now);
   if (!this->stopping) {
     return;
--- a/sidecar/sidecar_node.h
+++ b/sidecar/sidecar_node.h
@@ -62,7 +62,7 @@
   void OnInstanceEntryMissing(std::string_view name, std::uint64_t revision) override;
   void OnRegistryUnavailable(std::string_view reason) override;
   void OnRegistryStillUnavailable() override;
-  void OnRegistryRecovered() override;
+  void OnRegistryRecovered(Duration outage) override;
   void OnPeerLoad(std::string_view instance, const LoadReport& load) override;
   void OnPeerConfigurationVersion(std::uint64_t version) override;
   void OnPeerLeaving(std::string_view instance) override;
