Watch the instance that a response names, and stop serving one that never registers

Callers saw nothing yet; found by reading and shown by tests. (1) A new instance that the node knows from a 421 was watched only when a list contained it, so that its departure was noticed by the list, up to some seconds late. (2) After a restart of its node, an instance whose entry had been removed was served until it exited: the 421 to the first request named it, and from then on the registry's word was ignored.

Cause: the state of the instance was spread over five members of LocalExecutor, and a name from a response had no end of validity.

--- a/sidecar/instance_leave_test.cc
+++ b/sidecar/instance_leave_test.cc
@@ -4,6 +4,7 @@
 #include <memory>
 #include <vector>
 
+#include "masticpin/routing/local_instance_state.h"
 #include "sidecar/tcp_address.h"
 #include "sidecar/testing/sidecar_node_fixture.h"
 
@@ -184,5 +185,57 @@
   EXPECT_EQ(this->RequestCount(1), 0U);
 }
 
+/// A server that runs only requests which expect its name.
+ScriptedServer::Handler NamedServer(const std::string& name) {
+  return [name](Connection& connection, const std::string& request) {
+    if (FieldOf(request, "Test-Expected") != name) {
+      connection.Send(
+          TestFleet::MakeResponse(request, "", "Test-Instance: " + name + "\r\n", "421 Misdirected"));
+      return;
+    }
+    connection.Send(TestFleet::MakeResponse(request));
+  };
+}
+
+// Guards against a departure that is noticed late because nobody watches the entry of an instance
+// that the node knows from a response and not from the list yet.
+TEST_F(InstanceLeaveTest, InstanceKnownFromAResponseIsWatched) {
+  this->fleet.AddMachine("page", NamedServer("i-new"));
+  this->fleet.AddRoute("r", "page", true);
+  this->fleet.Start();
+  ASSERT_EQ(StatusOf(this->SendRequest(TestFleet::MakeRequest("1", "r"))), 200);
+  EXPECT_TRUE(this->fleet.RunUntil(
+      [&] { return this->fleet.At(0).deployment->local_instance == "i-new"; }, milliseconds(500)));
+}
+
+// Guards against an instance that left and is in use again after a restart of its node: the instance
+// answers until it exits, and the node took its name for that of a new instance.
+TEST_F(InstanceLeaveTest, InstanceThatLeftIsNotServedAfterARestartOfItsNode) {
+  this->fleet.AddMachine("front", RespondToAll);
+  this->fleet.AddMachine("page", NamedServer("i-1"));
+  this->fleet.AddMachine("page", RespondToAll);
+  this->fleet.AddRoute("r", "page", true);
+  this->fleet.Start();
+  this->fleet.Kill(1);
+  this->fleet.RunFor(milliseconds(50));
+  this->fleet.StartNode(1);
+  DeploymentObserver& observer = *this->fleet.At(1).deployment->observer;
+  observer.OnInstanceList({this->fleet.At(0).entry, this->fleet.At(2).entry}, kListRevision);
+  // The first node has not noticed the departure.
+  for (int i = 0; i < 50 && this->RequestCount(1) < 2; ++i) {
+    this->SendRequest(TestFleet::MakeRequest("a" + std::to_string(i), "r"));
+    this->fleet.RunFor(milliseconds(20));
+  }
+  ASSERT_GE(this->RequestCount(1), 2U);
+  this->fleet.RunFor(LocalInstanceStateSettings().registration_time);
+  observer.OnInstanceEntryMissing("i-1", kListRevision);
+  const std::size_t before = this->RequestCount(1);
+  for (int i = 0; i < 6; ++i) {
+    EXPECT_EQ(StatusOf(this->SendRequest(TestFleet::MakeRequest("b" + std::to_string(i), "r"))),
+              200);
+  }
+  EXPECT_EQ(this->RequestCount(1), before);
+}
+
 }  // namespace
 }  // namespace masticpin
--- a/sidecar/local_execution.cc
+++ b/sidecar/local_execution.cc
@@ -135,9 +135,9 @@
   message.append("\r\n").append(dialect.caller_service).append(": ");
   message.append(this->request.caller_service()).append("\r\n");
   message.append(dialect.expected_instance).append(": ");
-  message.append(this->executor.instance_name.empty()
+  message.append(this->executor.InstanceName().empty()
                      ? kUnknownInstance
-                     : std::string_view(this->executor.instance_name));
+                     : std::string_view(this->executor.InstanceName()));
   message.append("\r\n");
   if (HasBody(this->request)) {
     message.append("Content-Length: ").append(std::to_string(this->request.body().size()));
@@ -148,7 +148,7 @@
 }
 
 void LocalExecution::OnSend() {
-  if (!this->executor.instance_leaving) {
+  if (!this->executor.instance.IsLeaving()) {
     return;
   }
   ++this->executor.statistics.sent_after_leave;
@@ -156,7 +156,7 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(now - since).count();
   };
   spdlog::warn("event=request_sent_after_leave id={} instance={} leaving_ms={} admitted_ms={}",
-               this->request.request_id(), this->executor.instance_name,
+               this->request.request_id(), this->executor.InstanceName(),
                milliseconds(this->executor.leaving_since), milliseconds(this->started_at));
 }
 
@@ -217,7 +217,7 @@
   const Ref<LocalExecution> keep(this);
   const bool reached = kind != ErrorKind::kUpstreamUnreachable;
   spdlog::warn("event=upstream_call_failed id={} instance={} error={} reason=\"{}\" ran_us={}",
-               this->request.request_id(), this->executor.instance_name, GetErrorInfo(kind).name,
+               this->request.request_id(), this->executor.InstanceName(), GetErrorInfo(kind).name,
                reason,
                std::chrono::duration_cast<std::chrono::microseconds>(this->executor.clock.Now() -
                                                                      this->started_at)
--- a/sidecar/local_executor.cc
+++ b/sidecar/local_executor.cc
@@ -59,7 +59,8 @@
       client(loop, clock, timers, std::move(upstream_address), responses),
       admission(MakeAdmissionSettings(), clock, timers, random),
       retries(retries),
-      retry_budget(clock, retries) {}
+      retry_budget(clock, retries),
+      instance(clock) {}
 
 LocalExecutor::~LocalExecutor() {
   while (!this->executions.empty()) {
@@ -96,36 +97,45 @@
   }
 }
 
-void LocalExecutor::SetInstance(const UpstreamInstance* instance, std::string_view source) {
-  // The registry's entry of the predecessor does not apply to the instance that replaced it.
-  if (this->name_from_response && (instance == nullptr || instance->name != this->instance_name)) {
+void LocalExecutor::SetInstance(const UpstreamInstance* entry, std::string_view source) {
+  const bool was_leaving = this->instance.IsLeaving();
+  const std::string previous_name = this->instance.Name();
+  const std::uint64_t previous_incarnation = this->instance.Incarnation();
+  if (!this->instance.OnEntry(entry)) {
     return;
   }
-  this->name_from_response = false;
-  const bool leaving = instance == nullptr ? !this->instance_name.empty()
-                                           : instance->state == InstanceState::kDraining;
-  if (leaving != this->instance_leaving) {
-    const LoadReport load = this->admission.GetLoad();
-    spdlog::info("event=own_instance_{} instance={} revision={} source={} in_flight={} queued={}",
-                 leaving ? "leaving" : "in_service",
-                 instance == nullptr ? this->instance_name : instance->name,
-                 instance == nullptr ? 0 : instance->revision, source, load.in_flight, load.queued);
-    this->leaving_since = this->clock.Now();
-  }
-  this->instance_leaving = leaving;
-  if (leaving) {
-    this->RefuseUnsent();
-  }
-  if (instance == nullptr) {
+  this->OnInstanceChanged(was_leaving, entry == nullptr ? 0 : entry->revision, source);
+  if (entry == nullptr) {
     return;
   }
-  if (this->incarnation != instance->incarnation || this->instance_name != instance->name) {
+  if (previous_incarnation != entry->incarnation || previous_name != entry->name) {
     // Connections to the previous process cannot be reused.
     this->client.CloseIdle();
-    this->instance_name = instance->name;
-    this->incarnation = instance->incarnation;
   }
-  this->admission.SetCeiling(CeilingFor(instance->slots));
+  this->admission.SetCeiling(CeilingFor(entry->slots));
+}
+
+void LocalExecutor::OnInstanceMissing(std::string_view name) {
+  const bool was_leaving = this->instance.IsLeaving();
+  this->instance.OnEntryMissing(name);
+  this->OnInstanceChanged(was_leaving, 0, "entry");
+}
+
+void LocalExecutor::OnInstanceChanged(bool was_leaving,
+                                      std::uint64_t revision,
+                                      std::string_view source) {
+  const bool leaving = this->instance.IsLeaving();
+  if (leaving == was_leaving) {
+    return;
+  }
+  const LoadReport load = this->admission.GetLoad();
+  spdlog::info("event=own_instance_{} instance={} revision={} source={} in_flight={} queued={}",
+               leaving ? "leaving" : "in_service", this->instance.Name(), revision, source,
+               load.in_flight, load.queued);
+  if (leaving) {
+    this->leaving_since = this->clock.Now();
+    this->RefuseUnsent();
+  }
 }
 
 void LocalExecutor::RefuseUnsent() {
@@ -141,14 +151,11 @@
 }
 
 void LocalExecutor::OnInstanceNameReported(const std::string& name) {
-  if (name.empty() || name == this->instance_name) {
-    return;
+  const std::string previous_name = this->instance.Name();
+  if (this->instance.OnNameReported(name)) {
+    spdlog::info("event=own_instance_replaced previous={} instance={}", previous_name, name);
+    this->client.CloseIdle();
   }
-  spdlog::info("event=own_instance_replaced previous={} instance={}", this->instance_name, name);
-  this->client.CloseIdle();
-  this->instance_name = name;
-  this->name_from_response = true;
-  this->instance_leaving = false;
 }
 
 void LocalExecutor::SetRetries(const InstanceRetryBudgetSettings& new_retries) {
--- a/sidecar/local_executor.h
+++ b/sidecar/local_executor.h
@@ -13,7 +13,7 @@
 #include "masticpin/base/ref_counted.h"
 #include "masticpin/base/timer_service.h"
 #include "masticpin/execution/running_request_table.h"
-#include "masticpin/routing/upstream_instance.h"
+#include "masticpin/routing/local_instance_state.h"
 #include "sidecar/http_client.h"
 #include "sidecar/http_dialect.h"
 #include "sidecar/local_executor_statistics.h"
@@ -43,7 +43,13 @@
 
   /// Sets the registry's entry of the local instance; nullptr if it is not listed. An instance that
   /// is draining or was removed gets no new requests. `source` names the update in the log.
-  void SetInstance(const UpstreamInstance* instance, std::string_view source);
+  void SetInstance(const UpstreamInstance* entry, std::string_view source);
+
+  /// Records that the registry has no entry of this name, as LocalInstanceState::OnEntryMissing().
+  void OnInstanceMissing(std::string_view name);
+
+  /// Name of the local instance; empty until the registry or a response has reported it.
+  const std::string& InstanceName() const { return this->instance.Name(); }
 
   /// Sets the number of instances of the local service, which share the retry budget; 0 if unknown.
   void SetInstanceCount(std::size_t count) { this->instance_count = count; }
@@ -72,7 +78,11 @@
   friend class LocalExecution;
 
   /// Whether the instance gets no new requests.
-  bool RefusesAll() const { return this->instance_leaving || this->draining; }
+  bool RefusesAll() const { return this->instance.IsLeaving() || this->draining; }
+
+  /// Logs that the instance begins to leave or is in service again, and refuses what was not sent
+  /// to a leaving one.
+  void OnInstanceChanged(bool was_leaving, std::uint64_t revision, std::string_view source);
 
   /// Refuses the requests that were accepted but not sent to the instance. They were not run, so
   /// the nodes of their callers send them to other instances.
@@ -103,12 +113,7 @@
   std::unordered_map<std::uint64_t, Ref<LocalExecution>> executions;
   LocalExecutorStatistics statistics;
 
-  /// Name of the local instance; empty until the registry or a response has reported it.
-  std::string instance_name;
-  /// Whether the name was reported by a response and is not listed in the registry yet.
-  bool name_from_response = false;
-  std::uint64_t incarnation = 0;
-  bool instance_leaving = false;
+  LocalInstanceState instance;
   TimePoint leaving_since{};
   bool draining = false;
   bool connection_close_seen = false;
--- a/sidecar/sidecar_node.cc
+++ b/sidecar/sidecar_node.cc
@@ -188,7 +188,9 @@
 }
 
 void SidecarNode::OnInstanceEntryMissing(std::string_view name, std::uint64_t revision) {
-  if (!this->directory.ApplyMissing(name, revision, this->clock.Now())) {
+  if (this->directory.ApplyMissing(name, revision, this->clock.Now())) {
+    this->executor.OnInstanceMissing(name);
+  } else {
     spdlog::info("event=removal_suspended instance={} revision={}", name, revision);
   }
   this->UpdateLocalInstance("entry");
@@ -293,7 +295,14 @@
     this->local_incarnation = local_entry->incarnation;
     spdlog::info("event=own_instance_found instance={} incarnation={} slots={}", local_entry->name,
                  local_entry->incarnation, local_entry->slots);
-    this->source.SetLocalInstance(local_entry->name);
+  }
+  this->WatchLocalInstance();
+}
+
+void SidecarNode::WatchLocalInstance() {
+  if (this->executor.InstanceName() != this->watched_instance) {
+    this->watched_instance = this->executor.InstanceName();
+    this->source.SetLocalInstance(this->watched_instance);
   }
 }
 
@@ -323,6 +332,7 @@
   if (this->executor.ConsumeConnectionCloseSeen()) {
     this->source.RefreshLocalInstance();
   }
+  this->WatchLocalInstance();
   if (this->directory.ApplySuspendedRemovals(now)) {
     this->UpdateLocalInstance("entry");
   }
--- a/sidecar/sidecar_node.h
+++ b/sidecar/sidecar_node.h
@@ -76,6 +76,8 @@
   void WaitForSignal();
   void Reload();
   void UpdateLocalInstance(std::string_view source);
+  /// Watches the entry of the running instance, whose name may come from a response.
+  void WatchLocalInstance();
   void UpdateReady();
   /// Reads the configuration again if peers have had a newer one for some time.
   void CheckVersionLag(TimePoint now);
@@ -108,6 +110,8 @@
   bool registry_unavailable = false;
   VersionLagDetector version_lag;
   std::string local_instance;
+  /// Name whose entry the source watches.
+  std::string watched_instance;
   std::uint64_t local_incarnation = 0;
   bool stopping = false;
   bool stopped = false;
