Read the entry of an instance whose responses close their connections, also while a watch waits

Callers saw nothing yet; shown by a test.

An instance that leaves announces the end of the connection in each response; the read that this asked for was made only if no call was in progress, and a waiting watch is one. Beside an instance that had left, it read the missing entry four times a second instead.

Change: DepartureDetector asks for a read after three closing responses in a row, at once and then at doubling intervals; RefreshLocalInstance() reads the entry and renews the watch.

--- /dev/null
+++ b/masticpin/routing/departure_detector.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <cstdint>
+
+#include "masticpin/base/time.h"
+
+namespace masticpin {
+
+struct DepartureDetectorSettings {
+  /// Number of successive responses that announce the end of their connection. Instances that stay
+  /// announce it now and then; those that leave do so in each response.
+  std::uint32_t min_closing_responses = 3;
+  /// Time from one check to the next. It doubles, up to the maximum, as long as the instance goes
+  /// on closing its connections and stays.
+  Duration check_interval = std::chrono::seconds(1);
+  Duration max_check_interval = std::chrono::seconds(30);
+};
+
+/// Detects from the responses of an instance that it seems to leave, so that the registry should be
+/// read. The watch of its entry can then wait for a long time without the risk that a departure is
+/// missed because the answer was lost.
+class DepartureDetector {
+ public:
+  using Settings = DepartureDetectorSettings;
+
+  explicit DepartureDetector(const Settings& settings = {}) : settings(settings) {}
+
+  /// Records one response of the instance.
+  void OnResponse(bool keeps_connection);
+
+  /// Returns whether the registry should be read now. At most true once per interval.
+  bool TryStartCheck(TimePoint now);
+
+ private:
+  const Settings settings;
+  std::uint32_t closing_responses = 0;
+  Duration interval{};
+  TimePoint next_check{};
+};
+
+}  // namespace masticpin
--- a/sidecar/instance_leave_test.cc
+++ b/sidecar/instance_leave_test.cc
@@ -237,5 +237,25 @@
   EXPECT_EQ(this->RequestCount(1), before);
 }
 
+// Guards against a departure that is missed because the answer to the watch was lost: the responses of
+// the instance announce the end of their connections.
+TEST_F(InstanceLeaveTest, ClosingResponsesMakeTheNodeReadTheEntry) {
+  this->fleet.AddMachine("page", [](Connection& connection, const std::string& request) {
+    connection.Send(TestFleet::MakeResponse(request, "done", "Connection: close\r\n"));
+    connection.Close();
+  });
+  this->fleet.AddRoute("r", "page", true);
+  this->fleet.Start();
+  for (int i = 0; i < 4; ++i) {
+    this->SendRequest(TestFleet::MakeRequest(std::to_string(i), "r"));
+  }
+  this->fleet.RunFor(milliseconds(300));
+  EXPECT_EQ(this->fleet.At(0).deployment->refreshes, 1);
+  // The instance leaves; reading its entry again would only cost calls.
+  this->PublishDraining(0);
+  this->fleet.RunFor(milliseconds(1300));
+  EXPECT_EQ(this->fleet.At(0).deployment->refreshes, 1);
+}
+
 }  // namespace
 }  // namespace masticpin
--- a/sidecar/local_executor.cc
+++ b/sidecar/local_executor.cc
@@ -203,10 +203,8 @@
   return load;
 }
 
-bool LocalExecutor::ConsumeConnectionCloseSeen() {
-  const bool seen = this->connection_close_seen;
-  this->connection_close_seen = false;
-  return seen;
+bool LocalExecutor::TryStartDepartureCheck() {
+  return !this->instance.IsLeaving() && this->departure.TryStartCheck(this->clock.Now());
 }
 
 void LocalExecutor::OnEnded(LocalExecution& execution) {
--- a/sidecar/local_executor.h
+++ b/sidecar/local_executor.h
@@ -13,6 +13,7 @@
 #include "masticpin/base/ref_counted.h"
 #include "masticpin/base/timer_service.h"
 #include "masticpin/execution/running_request_table.h"
+#include "masticpin/routing/departure_detector.h"
 #include "masticpin/routing/local_instance_state.h"
 #include "sidecar/http_client.h"
 #include "sidecar/http_dialect.h"
@@ -70,9 +71,9 @@
   const LocalExecutorStatistics& Statistics() const { return this->statistics; }
   std::uint64_t OpenedConnections() const { return this->client.OpenedConnections(); }
 
-  /// Whether a response announced that the instance closes its connections, as it does before it
-  /// shuts down. Clears the flag.
-  bool ConsumeConnectionCloseSeen();
+  /// Whether the responses of the instance indicate a departure of which the registry should be
+  /// asked now.
+  bool TryStartDepartureCheck();
 
  private:
   friend class LocalExecution;
@@ -114,9 +115,9 @@
   LocalExecutorStatistics statistics;
 
   LocalInstanceState instance;
+  DepartureDetector departure;
   TimePoint leaving_since{};
   bool draining = false;
-  bool connection_close_seen = false;
 };
 
 }  // namespace masticpin
--- a/sidecar/sidecar_node.cc
+++ b/sidecar/sidecar_node.cc
@@ -329,7 +329,8 @@
   if (this->ticks % kTicksPerCatalogRequest == 0) {
     this->peer_listener.RequestCatalog();
   }
-  if (this->executor.ConsumeConnectionCloseSeen()) {
+  if (this->executor.TryStartDepartureCheck()) {
+    spdlog::info("event=own_instance_checked instance={}", this->executor.InstanceName());
     this->source.RefreshLocalInstance();
   }
   this->WatchLocalInstance();
