Read the entry of the local instance after a pause before requests are sent

A node that did not run for a while sends the requests that it finds in its sockets to its instance, also if that announced its departure in the meantime, because the answer to the watch is handled after them or was lost with its connection.

Cause: the node took what it knew before the pause for current.

Change: LocalExecutor notices with each request and tick that more than 0.75 s have passed since it should have run, reads the entry and lets requests wait in the admission queue until it is read, for 50 ms at most.

Measured: RequestsWaitForTheEntryAfterAPause fails without the check of the pause and passes with it; RequestsAreSentIfTheEntryCannotBeRead and HeldRequestsAreAdmittedAtTheEndOfTheHold pass, and the 140 tests of the sidecar.

--- a/masticpin/admission/admission_controller.cc
+++ b/masticpin/admission/admission_controller.cc
@@ -145,6 +145,11 @@
   this->Process();
 }
 
+void AdmissionController::HoldUntil(TimePoint end) {
+  this->hold_end = end;
+  this->Process();
+}
+
 LoadReport AdmissionController::GetLoad() const {
   const TimePoint now = this->clock.Now();
   LoadReport report;
@@ -204,7 +209,7 @@
 }
 
 bool AdmissionController::CanAdmit(const AdmissionRequest& request, TimePoint now) const {
-  if (this->in_flight >= this->limiter.Limit()) {
+  if (this->in_flight >= this->limiter.Limit() || now < this->hold_end) {
     return false;
   }
   if (this->unreachable && (this->probe != nullptr || now < this->next_probe)) {
@@ -348,6 +353,9 @@
   if (hold_down_end > now) {
     due = std::min(due, hold_down_end);
   }
+  if (this->hold_end > now) {
+    due = std::min(due, this->hold_end);
+  }
   if (this->unreachable && this->next_probe > now) {
     due = std::min(due, this->next_probe);
   }
--- a/masticpin/admission/admission_controller.h
+++ b/masticpin/admission/admission_controller.h
@@ -59,6 +59,10 @@
   /// Refuses all waiting requests with kDraining. Later offers are not affected.
   void RefuseWaiting();
 
+  /// Admits no requests until `end`; they wait in the queue. An `end` that has passed ends the
+  /// hold.
+  void HoldUntil(TimePoint end);
+
   bool IsDraining() const { return this->draining; }
 
   /// Returns the load report for other nodes. Its limit is 0 while the upstream is unreachable.
@@ -118,6 +122,8 @@
   TimePerImportance admitted_at;
 
   std::uint32_t in_flight = 0;
+  /// No request is admitted before this time.
+  TimePoint hold_end = TimePoint::min();
   bool draining = false;
   /// Whether Process() is running.
   bool processing = false;
--- a/masticpin/admission/admission_controller_test.cc
+++ b/masticpin/admission/admission_controller_test.cc
@@ -227,8 +227,8 @@
   EXPECT_EQ(running.GetState(), AdmissionRequest::State::kAdmitted);
 }
 
-// Guards against an upstream that is refused requests for good after it was only emptied once, as it
-// is when its predecessor at the same address leaves.
+// Guards against an upstream that is refused requests for good after it was only emptied once, as
+// it is when its predecessor at the same address leaves.
 TEST_F(AdmissionControllerTest, RefusingTheWaitingRequestsDoesNotAffectLaterOnes) {
   RecordedRequest& running = this->Offer(0);
   RecordedRequest& waiting = this->Offer(0);
@@ -239,6 +239,21 @@
   EXPECT_EQ(later.admitted, 1);
 }
 
+// Guards against a hold that ends early, or only with the next event.
+TEST_F(AdmissionControllerTest, HeldRequestsAreAdmittedAtTheEndOfTheHold) {
+  this->controller.HoldUntil(this->clock.Now() + milliseconds(50));
+  RecordedRequest& held = this->Offer(0);
+  this->clock.Advance(milliseconds(49));
+  EXPECT_EQ(held.admitted, 0);
+  this->clock.Advance(milliseconds(1));
+  EXPECT_EQ(held.admitted, 1);
+  this->controller.Complete(held, Completion::kSuccess, milliseconds(1));
+  this->controller.HoldUntil(this->clock.Now() + milliseconds(50));
+  RecordedRequest& released = this->Offer(0);
+  this->controller.HoldUntil(this->clock.Now());
+  EXPECT_EQ(released.admitted, 1);
+}
+
 // Guards against requests that wait for, or fail at, an upstream that accepts no connections.
 TEST_F(AdmissionControllerTest, RefusesQuicklyAndProbesWhileTheUpstreamIsUnreachable) {
   RecordedRequest& running = this->Offer(5);
--- a/masticpin/routing/local_instance_state_test.cc
+++ b/masticpin/routing/local_instance_state_test.cc
@@ -72,7 +72,8 @@
   EXPECT_FALSE(this->state.IsLeaving());
 }
 
-// Guards against a response of a leaving instance that repeats its own name and puts it back in use.
+// Guards against a response of a leaving instance that repeats its own name and puts it back in
+// use.
 TEST_F(LocalInstanceStateTest, KnownNameInAResponseChangesNothing) {
   this->Apply(Entry("i-1", InstanceState::kDraining));
   EXPECT_FALSE(this->state.OnNameReported("i-1"));
--- a/sidecar/http_call_observer.h
+++ b/sidecar/http_call_observer.h
@@ -7,8 +7,8 @@
 
 namespace masticpin {
 
-/// Receives the result of one call of an HTTP client. Exactly one of OnResponse() and OnCallFailed() is
-/// called, once, and not from within the function that started the call.
+/// Receives the result of one call of an HTTP client. Exactly one of OnResponse() and
+/// OnCallFailed() is called, once, and not from within the function that started the call.
 class HttpCallObserver {
  public:
   virtual ~HttpCallObserver() = default;
--- a/sidecar/instance_leave_test.cc
+++ b/sidecar/instance_leave_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <thread>
 #include <vector>
 
 #include "masticpin/routing/local_instance_state.h"
@@ -106,8 +107,8 @@
   }
 }
 
-// Guards against a request that is sent a second time, after a 421, to an instance that has announced
-// its departure meanwhile.
+// Guards against a request that is sent a second time, after a 421, to an instance that has
+// announced its departure meanwhile.
 TEST_F(InstanceLeaveTest, MisdirectedRequestIsNotSentAgainAfterTheInstanceLeaves) {
   Connection* waiting = nullptr;
   std::string first;
@@ -136,8 +137,8 @@
   EXPECT_EQ(this->RequestCount(2), 1U);
 }
 
-// Guards against a request that waits for a connection when its instance announces its departure: it
-// was sent as soon as the instance accepted the connection, or kept until the attempt timed out.
+// Guards against a request that waits for a connection when its instance announces its departure:
+// it was sent as soon as the instance accepted the connection, or kept until the attempt timed out.
 TEST_F(InstanceLeaveTest, RequestWithoutAConnectionIsSentElsewhereWhenTheInstanceLeaves) {
   this->fleet.AddMachine("front", RespondToAll);
   this->fleet.AddMachine("page", RespondToAll);
@@ -161,13 +162,13 @@
 
   this->PublishOnly({0, 1, 2});
   this->PublishDraining(1);
-  EXPECT_TRUE(
-      this->fleet.RunUntil([&] { return caller.ResponseCount() == 1; }, milliseconds(300)));
+  EXPECT_TRUE(this->fleet.RunUntil([&] { return caller.ResponseCount() == 1; }, milliseconds(300)));
   EXPECT_EQ(this->RequestCount(2), 1U);
 }
 
 // Guards against an instance that stays in use for several seconds after its entry was removed: the
-// node had read the removal during the grace period after an outage, and only a later list applied it.
+// node had read the removal during the grace period after an outage, and only a later list applied
+// it.
 TEST_F(InstanceLeaveTest, RemovalReadAfterAnOutageNeedsNoFurtherList) {
   this->fleet.AddMachine("front", RespondToAll);
   this->fleet.AddMachine("page", RespondToAll);
@@ -189,8 +190,8 @@
 ScriptedServer::Handler NamedServer(const std::string& name) {
   return [name](Connection& connection, const std::string& request) {
     if (FieldOf(request, "Test-Expected") != name) {
-      connection.Send(
-          TestFleet::MakeResponse(request, "", "Test-Instance: " + name + "\r\n", "421 Misdirected"));
+      connection.Send(TestFleet::MakeResponse(request, "", "Test-Instance: " + name + "\r\n",
+                                              "421 Misdirected"));
       return;
     }
     connection.Send(TestFleet::MakeResponse(request));
@@ -208,8 +209,8 @@
       [&] { return this->fleet.At(0).deployment->local_instance == "i-new"; }, milliseconds(500)));
 }
 
-// Guards against an instance that left and is in use again after a restart of its node: the instance
-// answers until it exits, and the node took its name for that of a new instance.
+// Guards against an instance that left and is in use again after a restart of its node: the
+// instance answers until it exits, and the node took its name for that of a new instance.
 TEST_F(InstanceLeaveTest, InstanceThatLeftIsNotServedAfterARestartOfItsNode) {
   this->fleet.AddMachine("front", RespondToAll);
   this->fleet.AddMachine("page", NamedServer("i-1"));
@@ -237,8 +238,8 @@
   EXPECT_EQ(this->RequestCount(1), before);
 }
 
-// Guards against a departure that is missed because the answer to the watch was lost: the responses of
-// the instance announce the end of their connections.
+// Guards against a departure that is missed because the answer to the watch was lost: the responses
+// of the instance announce the end of their connections.
 TEST_F(InstanceLeaveTest, ClosingResponsesMakeTheNodeReadTheEntry) {
   this->fleet.AddMachine("page", [](Connection& connection, const std::string& request) {
     connection.Send(TestFleet::MakeResponse(request, "done", "Connection: close\r\n"));
@@ -257,5 +258,52 @@
   EXPECT_EQ(this->fleet.At(0).deployment->refreshes, 1);
 }
 
+class PausedNodeTest : public InstanceLeaveTest {
+ protected:
+  void SetUp() override {
+    this->fleet.AddMachine("front", RespondToAll);
+    this->fleet.AddMachine("page", RespondToAll);
+    this->fleet.AddMachine("page", RespondToAll);
+    this->fleet.AddRoute("r", "page", false);
+    for (std::size_t machine = 0; machine < 3; ++machine) {
+      this->fleet.StartNode(machine);
+    }
+    this->fleet.PublishConfiguration();
+    this->PublishOnly({0, 1});
+    this->SendRequest(TestFleet::MakeRequest("first", "r", "POST", "", "x"));
+    this->PublishOnly({0, 1, 2});
+  }
+
+  /// Pauses all nodes while a request arrives at the second machine.
+  void PauseWhileARequestArrives(RawCaller& caller) {
+    caller.Send(TestFleet::MakeRequest("p", "r", "POST", "", "x"));
+    std::this_thread::sleep_for(milliseconds(1300));
+  }
+
+  int Refreshes() { return this->fleet.At(1).deployment->refreshes; }
+};
+
+// Guards against requests that a node sends to its instance after a pause of the process, although
+// the instance announced its departure during the pause.
+TEST_F(PausedNodeTest, RequestsWaitForTheEntryAfterAPause) {
+  RawCaller caller(this->fleet.Loop(), this->fleet.RequestAddress(1));
+  const std::size_t before = this->RequestCount(1);
+  this->PauseWhileARequestArrives(caller);
+  ASSERT_TRUE(this->fleet.RunUntil([&] { return this->Refreshes() == 1; }, milliseconds(500)));
+  this->PublishDraining(1);
+  ASSERT_TRUE(this->fleet.RunUntil([&] { return caller.ResponseCount() == 1; }));
+  EXPECT_EQ(StatusOf(caller.Received()), 200);
+  EXPECT_EQ(this->RequestCount(1), before);
+  EXPECT_EQ(this->RequestCount(2), 1U);
+}
+
+// Guards against requests that wait for a registry which does not answer.
+TEST_F(PausedNodeTest, RequestsAreSentIfTheEntryCannotBeRead) {
+  RawCaller caller(this->fleet.Loop(), this->fleet.RequestAddress(1));
+  this->PauseWhileARequestArrives(caller);
+  EXPECT_TRUE(this->fleet.RunUntil([&] { return caller.ResponseCount() == 1; }, milliseconds(300)));
+  EXPECT_EQ(StatusOf(caller.Received()), 200);
+}
+
 }  // namespace
 }  // namespace masticpin
--- a/sidecar/local_executor.cc
+++ b/sidecar/local_executor.cc
@@ -27,6 +27,14 @@
 /// their inner calls, may use the instance's whole share of the retry budget.
 constexpr std::uint32_t kMinImportanceForFullRetryBudget = 6;
 
+/// Shortest pause of the process after which the state of the instance is not relied on. It must be
+/// well below the notice time of a departure.
+constexpr Duration kMinPause = std::chrono::milliseconds(750);
+
+/// Maximum time for which requests wait for the entry of the instance after a pause. The registry
+/// usually responds within 10 ms; if it does not, requests must not expire in the queue.
+constexpr Duration kMaxHold = std::chrono::milliseconds(50);
+
 /// Maximum number of requests that wait at one node; each holds its message in memory.
 constexpr std::size_t kQueueCapacity = 2000;
 
@@ -52,7 +60,8 @@
                              const HttpDialect& dialect,
                              SocketAddress upstream_address,
                              const HttpClientSettings& responses,
-                             const InstanceRetryBudgetSettings& retries)
+                             const InstanceRetryBudgetSettings& retries,
+                             LocalExecutorObserver& observer)
     : clock(clock),
       timers(timers),
       dialect(dialect),
@@ -60,7 +69,9 @@
       admission(MakeAdmissionSettings(), clock, timers, random),
       retries(retries),
       retry_budget(clock, retries),
-      instance(clock) {}
+      instance(clock),
+      observer(observer),
+      last_tick(clock.Now()) {}
 
 LocalExecutor::~LocalExecutor() {
   while (!this->executions.empty()) {
@@ -76,6 +87,7 @@
     return;
   }
   ++this->statistics.offered;
+  this->CheckForPause();
   const bool refuses_all = this->RefusesAll();
   const bool granted = refuses_all || request.granted_elsewhere() || this->TryGrantRetry(request);
   const Ref<LocalExecution> execution(new LocalExecution(*this, std::move(request), observer));
@@ -105,6 +117,9 @@
     return;
   }
   this->OnInstanceChanged(was_leaving, entry == nullptr ? 0 : entry->revision, source);
+  if (source == kSourceEntry) {
+    this->admission.HoldUntil(this->clock.Now());
+  }
   if (entry == nullptr) {
     return;
   }
@@ -118,7 +133,7 @@
 void LocalExecutor::OnInstanceMissing(std::string_view name) {
   const bool was_leaving = this->instance.IsLeaving();
   this->instance.OnEntryMissing(name);
-  this->OnInstanceChanged(was_leaving, 0, "entry");
+  this->OnInstanceChanged(was_leaving, 0, kSourceEntry);
 }
 
 void LocalExecutor::OnInstanceChanged(bool was_leaving,
@@ -203,8 +218,26 @@
   return load;
 }
 
-bool LocalExecutor::TryStartDepartureCheck() {
-  return !this->instance.IsLeaving() && this->departure.TryStartCheck(this->clock.Now());
+void LocalExecutor::OnTick(TimePoint now) {
+  this->CheckForPause();
+  this->last_tick = now;
+  if (!this->instance.IsLeaving() && this->departure.TryStartCheck(now)) {
+    spdlog::info("event=own_instance_checked instance={}", this->instance.Name());
+    this->observer.OnInstanceStateOutdated();
+  }
+}
+
+void LocalExecutor::CheckForPause() {
+  const TimePoint now = this->clock.Now();
+  const Duration pause = now - this->last_tick - kMaxTickInterval;
+  if (pause < kMinPause) {
+    return;
+  }
+  this->last_tick = now;
+  spdlog::warn("event=process_paused ms={}",
+               std::chrono::duration_cast<std::chrono::milliseconds>(pause).count());
+  this->admission.HoldUntil(now + kMaxHold);
+  this->observer.OnInstanceStateOutdated();
 }
 
 void LocalExecutor::OnEnded(LocalExecution& execution) {
--- a/sidecar/local_executor.h
+++ b/sidecar/local_executor.h
@@ -17,6 +17,7 @@
 #include "masticpin/routing/local_instance_state.h"
 #include "sidecar/http_client.h"
 #include "sidecar/http_dialect.h"
+#include "sidecar/local_executor_observer.h"
 #include "sidecar/local_executor_statistics.h"
 #include "sidecar/request_executor.h"
 
@@ -36,16 +37,20 @@
                 const HttpDialect& dialect,
                 SocketAddress upstream_address,
                 const HttpClientSettings& responses,
-                const InstanceRetryBudgetSettings& retries);
+                const InstanceRetryBudgetSettings& retries,
+                LocalExecutorObserver& observer);
   ~LocalExecutor() override;
 
   void Execute(wire::ExecutionRequest request, ExecutionObserver& observer) override;
   void Cancel(std::uint64_t call) override;
 
   /// Sets the registry's entry of the local instance; nullptr if it is not listed. An instance that
-  /// is draining or was removed gets no new requests. `source` names the update in the log.
+  /// is draining or was removed gets no new requests. `source` names the update in the log:
+  /// kSourceEntry if the entry itself was read, which ends a hold.
   void SetInstance(const UpstreamInstance* entry, std::string_view source);
 
+  static constexpr std::string_view kSourceEntry = "entry";
+
   /// Records that the registry has no entry of this name, as LocalInstanceState::OnEntryMissing().
   void OnInstanceMissing(std::string_view name);
 
@@ -71,9 +76,11 @@
   const LocalExecutorStatistics& Statistics() const { return this->statistics; }
   std::uint64_t OpenedConnections() const { return this->client.OpenedConnections(); }
 
-  /// Whether the responses of the instance indicate a departure of which the registry should be
-  /// asked now.
-  bool TryStartDepartureCheck();
+  /// Must be called periodically, at most every kMaxTickInterval. The time since the last call
+  /// shows that the process was paused.
+  void OnTick(TimePoint now);
+
+  static constexpr Duration kMaxTickInterval = std::chrono::milliseconds(250);
 
  private:
   friend class LocalExecution;
@@ -85,6 +92,10 @@
   /// to a leaving one.
   void OnInstanceChanged(bool was_leaving, std::uint64_t revision, std::string_view source);
 
+  /// Holds new requests after a pause of the process, in which the instance may have announced its
+  /// departure, until its entry was read.
+  void CheckForPause();
+
   /// Refuses the requests that were accepted but not sent to the instance. They were not run, so
   /// the nodes of their callers send them to other instances.
   void RefuseUnsent();
@@ -116,6 +127,8 @@
 
   LocalInstanceState instance;
   DepartureDetector departure;
+  LocalExecutorObserver& observer;
+  TimePoint last_tick;
   TimePoint leaving_since{};
   bool draining = false;
 };
--- a/sidecar/sidecar_node.cc
+++ b/sidecar/sidecar_node.cc
@@ -13,7 +13,7 @@
 
 /// Interval at which the node checks whether a shutdown is complete and whether the local instance
 /// is shutting down.
-constexpr Duration kTickInterval = std::chrono::milliseconds(250);
+constexpr Duration kTickInterval = LocalExecutor::kMaxTickInterval;
 
 /// The same while the node is shutting down.
 constexpr Duration kStopTickInterval = std::chrono::milliseconds(50);
@@ -82,7 +82,8 @@
                source.Dialect(),
                settings.upstream_address,
                MakeResponseSettings(settings),
-               settings.retries),
+               settings.retries,
+               *this),
       router(MakeRouterSettings(settings),
              source.Dialect(),
              clock,
@@ -184,7 +185,7 @@
 
 void SidecarNode::OnInstanceEntry(const UpstreamInstance& instance) {
   this->directory.Apply(instance);
-  this->UpdateLocalInstance("entry");
+  this->UpdateLocalInstance(LocalExecutor::kSourceEntry);
 }
 
 void SidecarNode::OnInstanceEntryMissing(std::string_view name, std::uint64_t revision) {
@@ -193,7 +194,7 @@
   } else {
     spdlog::info("event=removal_suspended instance={} revision={}", name, revision);
   }
-  this->UpdateLocalInstance("entry");
+  this->UpdateLocalInstance(LocalExecutor::kSourceEntry);
 }
 
 void SidecarNode::OnRegistryUnavailable(std::string_view reason) {
@@ -329,13 +330,10 @@
   if (this->ticks % kTicksPerCatalogRequest == 0) {
     this->peer_listener.RequestCatalog();
   }
-  if (this->executor.TryStartDepartureCheck()) {
-    spdlog::info("event=own_instance_checked instance={}", this->executor.InstanceName());
-    this->source.RefreshLocalInstance();
-  }
+  this->executor.OnTick(now);
   this->WatchLocalInstance();
   if (this->directory.ApplySuspendedRemovals(now)) {
-    this->UpdateLocalInstance("entry");
+    this->UpdateLocalInstance(LocalExecutor::kSourceEntry);
   }
   this->CheckVersionLag(now);
   if (!this->stopping) {
--- a/sidecar/sidecar_node.h
+++ b/sidecar/sidecar_node.h
@@ -31,6 +31,7 @@
 class SidecarNode : private DeploymentObserver,
                     private CatalogStore,
                     private PeerLinkObserver,
+                    private LocalExecutorObserver,
                     private TimerSubscriber {
  public:
   /// Reads the settings file again; returns std::nullopt if it is invalid.
@@ -75,6 +76,7 @@
 
   void WaitForSignal();
   void Reload();
+  void OnInstanceStateOutdated() override { this->source.RefreshLocalInstance(); }
   void UpdateLocalInstance(std::string_view source);
   /// Watches the entry of the running instance, whose name may come from a response.
   void WatchLocalInstance();
