--- a/sidecar/instance_leave_test.cc
+++ b/sidecar/instance_leave_test.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <memory>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "masticpin/routing/local_instance_state.h"
@@ -46,6 +47,24 @@
 
 class InstanceLeaveTest : public SidecarNodeFixture {
  protected:
+  /// Adds a machine for callers, the machine of an instance that will leave, and that of another
+  /// instance of the same service.
+  void AddMachines(ScriptedServer::Handler leaving, bool idempotent) {
+    this->fleet.AddMachine("front", RespondToAll);
+    this->fleet.AddMachine("page", std::move(leaving));
+    this->fleet.AddMachine("page", RespondToAll);
+    this->fleet.AddRoute("r", "page", idempotent);
+  }
+
+  /// Starts all nodes, which know only the first two machines.
+  void StartWithoutTheOtherInstance() {
+    for (std::size_t machine = 0; machine < 3; ++machine) {
+      this->fleet.StartNode(machine);
+    }
+    this->fleet.PublishConfiguration();
+    this->PublishOnly({0, 1});
+  }
+
   /// Tells the nodes of the given machines that only these machines are listed.
   void PublishOnly(const std::vector<std::size_t>& machines) {
     std::vector<UpstreamInstance> list;
@@ -72,15 +91,8 @@
 // queue when the notice arrived.
 TEST_F(InstanceLeaveTest, WaitingRequestsAreNotSentAfterTheInstanceLeaves) {
   HoldingServer leaving;
-  this->fleet.AddMachine("front", RespondToAll);
-  this->fleet.AddMachine("page", leaving.Handler());
-  this->fleet.AddMachine("page", RespondToAll);
-  this->fleet.AddRoute("r", "page", false);
-  for (std::size_t machine = 0; machine < 3; ++machine) {
-    this->fleet.StartNode(machine);
-  }
-  this->fleet.PublishConfiguration();
-  this->PublishOnly({0, 1});
+  this->AddMachines(leaving.Handler(), false);
+  this->StartWithoutTheOtherInstance();
 
   constexpr std::size_t kWaiting = 5;
   std::vector<std::unique_ptr<RawCaller>> callers;
@@ -112,18 +124,13 @@
 TEST_F(InstanceLeaveTest, MisdirectedRequestIsNotSentAgainAfterTheInstanceLeaves) {
   Connection* waiting = nullptr;
   std::string first;
-  this->fleet.AddMachine("front", RespondToAll);
-  this->fleet.AddMachine("page", [&](Connection& connection, const std::string& request) {
-    waiting = &connection;
-    first = request;
-  });
-  this->fleet.AddMachine("page", RespondToAll);
-  this->fleet.AddRoute("r", "page", false);
-  for (std::size_t machine = 0; machine < 3; ++machine) {
-    this->fleet.StartNode(machine);
-  }
-  this->fleet.PublishConfiguration();
-  this->PublishOnly({0, 1});
+  this->AddMachines(
+      [&](Connection& connection, const std::string& request) {
+        waiting = &connection;
+        first = request;
+      },
+      false);
+  this->StartWithoutTheOtherInstance();
   RawCaller caller(this->fleet.Loop(), this->fleet.RequestAddress(0));
   caller.Send(TestFleet::MakeRequest("m", "r", "POST", "", "x"));
   ASSERT_TRUE(this->fleet.RunUntil([&] { return waiting != nullptr; }));
@@ -140,15 +147,8 @@
 // Guards against a request that waits for a connection when its instance announces its departure:
 // it was sent as soon as the instance accepted the connection, or kept until the attempt timed out.
 TEST_F(InstanceLeaveTest, RequestWithoutAConnectionIsSentElsewhereWhenTheInstanceLeaves) {
-  this->fleet.AddMachine("front", RespondToAll);
-  this->fleet.AddMachine("page", RespondToAll);
-  this->fleet.AddMachine("page", RespondToAll);
-  this->fleet.AddRoute("r", "page", false);
-  for (std::size_t machine = 0; machine < 3; ++machine) {
-    this->fleet.StartNode(machine);
-  }
-  this->fleet.PublishConfiguration();
-  this->PublishOnly({0, 1});
+  this->AddMachines(RespondToAll, false);
+  this->StartWithoutTheOtherInstance();
   // A server with a full backlog: the kernel drops further SYNs.
   this->fleet.At(1).upstream->StopListening();
   boost::asio::ip::tcp::acceptor full(this->fleet.Loop());
@@ -170,10 +170,7 @@
 // node had read the removal during the grace period after an outage, and only a later list applied
 // it.
 TEST_F(InstanceLeaveTest, RemovalReadAfterAnOutageNeedsNoFurtherList) {
-  this->fleet.AddMachine("front", RespondToAll);
-  this->fleet.AddMachine("page", RespondToAll);
-  this->fleet.AddMachine("page", RespondToAll);
-  this->fleet.AddRoute("r", "page", true);
+  this->AddMachines(RespondToAll, true);
   this->fleet.Start();
   DeploymentObserver& observer = *this->fleet.At(1).deployment->observer;
   observer.OnRegistryUnavailable("test");
@@ -186,22 +183,10 @@
   EXPECT_EQ(this->RequestCount(1), 0U);
 }
 
-/// A server that runs only requests which expect its name.
-ScriptedServer::Handler NamedServer(const std::string& name) {
-  return [name](Connection& connection, const std::string& request) {
-    if (FieldOf(request, "Test-Expected") != name) {
-      connection.Send(TestFleet::MakeResponse(request, "", "Test-Instance: " + name + "\r\n",
-                                              "421 Misdirected"));
-      return;
-    }
-    connection.Send(TestFleet::MakeResponse(request));
-  };
-}
-
 // Guards against a departure that is noticed late because nobody watches the entry of an instance
 // that the node knows from a response and not from the list yet.
 TEST_F(InstanceLeaveTest, InstanceKnownFromAResponseIsWatched) {
-  this->fleet.AddMachine("page", NamedServer("i-new"));
+  this->fleet.AddMachine("page", RespondIfExpected("i-new"));
   this->fleet.AddRoute("r", "page", true);
   this->fleet.Start();
   ASSERT_EQ(StatusOf(this->SendRequest(TestFleet::MakeRequest("1", "r"))), 200);
@@ -212,10 +197,7 @@
 // Guards against an instance that left and is in use again after a restart of its node: the
 // instance answers until it exits, and the node took its name for that of a new instance.
 TEST_F(InstanceLeaveTest, InstanceThatLeftIsNotServedAfterARestartOfItsNode) {
-  this->fleet.AddMachine("front", RespondToAll);
-  this->fleet.AddMachine("page", NamedServer("i-1"));
-  this->fleet.AddMachine("page", RespondToAll);
-  this->fleet.AddRoute("r", "page", true);
+  this->AddMachines(RespondIfExpected("i-1"), true);
   this->fleet.Start();
   this->fleet.Kill(1);
   this->fleet.RunFor(milliseconds(50));
@@ -261,15 +243,8 @@
 class PausedNodeTest : public InstanceLeaveTest {
  protected:
   void SetUp() override {
-    this->fleet.AddMachine("front", RespondToAll);
-    this->fleet.AddMachine("page", RespondToAll);
-    this->fleet.AddMachine("page", RespondToAll);
-    this->fleet.AddRoute("r", "page", false);
-    for (std::size_t machine = 0; machine < 3; ++machine) {
-      this->fleet.StartNode(machine);
-    }
-    this->fleet.PublishConfiguration();
-    this->PublishOnly({0, 1});
+    this->AddMachines(RespondToAll, false);
+    this->StartWithoutTheOtherInstance();
     this->SendRequest(TestFleet::MakeRequest("first", "r", "POST", "", "x"));
     this->PublishOnly({0, 1, 2});
   }
--- a/sidecar/sidecar_recovery_test.cc
+++ b/sidecar/sidecar_recovery_test.cc
@@ -225,14 +225,7 @@
 // Guards against an instance that is known only by its predecessor's name. After a power loss of
 // all machines, requests failed until the registry listed the new names.
 TEST_F(SidecarRecoveryTest, RestartedInstanceIsServedUnderItsNewName) {
-  this->fleet.AddMachine("page", [](Connection& connection, const std::string& request) {
-    if (FieldOf(request, "Test-Expected") != "i-new") {
-      connection.Send(
-          TestFleet::MakeResponse(request, "", "Test-Instance: i-new\r\n", "421 Misdirected"));
-      return;
-    }
-    connection.Send(TestFleet::MakeResponse(request));
-  });
+  this->fleet.AddMachine("page", RespondIfExpected("i-new"));
   this->fleet.AddRoute("w", "page", false);
   this->fleet.Start();
   EXPECT_EQ(StatusOf(this->SendRequest(TestFleet::MakeRequest("1", "w", "POST", "", "x"))), 200);
@@ -343,18 +336,8 @@
 // restarted one after another while it was unavailable, they refused all requests for their
 // instances for several seconds.
 TEST_F(SidecarRecoveryTest, NodeRestartedWithoutRegistryLearnsFromPeers) {
-  const auto respond_if_expected = [](const std::string& name) {
-    return [name](Connection& connection, const std::string& request) {
-      if (FieldOf(request, "Test-Expected") != name) {
-        connection.Send(TestFleet::MakeResponse(request, "", "Test-Instance: " + name + "\r\n",
-                                                "421 Misdirected"));
-        return;
-      }
-      connection.Send(TestFleet::MakeResponse(request));
-    };
-  };
-  this->fleet.AddMachine("front", respond_if_expected("i-0"));
-  this->fleet.AddMachine("page", respond_if_expected("i-1"));
+  this->fleet.AddMachine("front", RespondIfExpected("i-0"));
+  this->fleet.AddMachine("page", RespondIfExpected("i-1"));
   this->fleet.AddRoute("r", "page", true);
   this->fleet.Start();
   ASSERT_EQ(StatusOf(this->SendRequest(TestFleet::MakeRequest("1", "r"))), 200);
--- a/sidecar/testing/sidecar_node_fixture.h
+++ b/sidecar/testing/sidecar_node_fixture.h
@@ -16,6 +16,19 @@
   connection.Send(TestFleet::MakeResponse(request));
 }
 
+/// Returns a handler that responds with 200 to requests which expect the instance `name`, and to
+/// others with 421 and its name.
+inline ScriptedServer::Handler RespondIfExpected(const std::string& name) {
+  return [name](Connection& connection, const std::string& request) {
+    if (FieldOf(request, "Test-Expected") != name) {
+      connection.Send(TestFleet::MakeResponse(request, "", "Test-Instance: " + name + "\r\n",
+                                              "421 Misdirected"));
+      return;
+    }
+    connection.Send(TestFleet::MakeResponse(request));
+  };
+}
+
 /// Fixture for tests of complete nodes. Callers send their requests to the first machine.
 class SidecarNodeFixture : public testing::Test {
  protected:
