Give each listener of a test fleet a port of its own

Cause: TestFleet asks the kernel for a free port four times per machine and closes the socket each time, so that the kernel may name the same port again. Four such requests named one twice in 28 of 30,000 trials.

Change: the fleet remembers the ports that it has taken and asks again for one that it has.

--- a/sidecar/testing/test_fleet.cc
+++ b/sidecar/testing/test_fleet.cc
@@ -13,6 +13,14 @@
 
 }  // namespace
 
+std::uint16_t TestFleet::ReservePort(const std::string& ip) {
+  std::uint16_t port = FreePort(this->loop, ip);
+  while (!this->reserved_ports.insert(port).second) {
+    port = FreePort(this->loop, ip);
+  }
+  return port;
+}
+
 TestFleet::TestFleet() : timers(this->loop, this->clock) {}
 
 TestFleet::~TestFleet() {
@@ -37,11 +45,11 @@
   settings.service = service;
   settings.zone = zone;
   const std::uint16_t peer_port =
-      number == 0 ? FreePort(this->loop, ip) : this->At(0).settings.peer_address.port;
+      number == 0 ? this->ReservePort(ip) : this->At(0).settings.peer_address.port;
   settings.peer_address = {ip, peer_port};
-  settings.request_address = {ip, FreePort(this->loop, ip)};
-  settings.ready_address = {ip, FreePort(this->loop, ip)};
-  settings.metrics_address = {ip, FreePort(this->loop, ip)};
+  settings.request_address = {ip, this->ReservePort(ip)};
+  settings.ready_address = {ip, this->ReservePort(ip)};
+  settings.metrics_address = {ip, this->ReservePort(ip)};
   settings.upstream_address = machine->upstream->Address();
   UpstreamInstance& entry = machine->entry;
   entry.name = machine->instance;
--- a/sidecar/testing/test_fleet.h
+++ b/sidecar/testing/test_fleet.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -79,11 +81,16 @@
                                   const std::string& status = "200 OK");
 
  private:
+  /// Returns a free port at `ip` that this fleet uses nowhere else. The kernel may name the same
+  /// free port twice as long as nobody listens at it.
+  std::uint16_t ReservePort(const std::string& ip);
+
   boost::asio::io_context loop;
   SystemClock clock;
   SeededRandom random{11};
   LoopTimerService timers;
   std::vector<std::unique_ptr<Machine>> machines;
+  std::set<std::uint16_t> reserved_ports;
   std::vector<Route> routes;
   std::uint64_t version = 0;
   std::uint64_t revision = 0;
