Complete requests to servers with one function in both clients

Cause: when masticpin-node took over the sidecar's HTTP client, the rule which requests carry a length was copied: HasBody() and the lines that use it stood in sidecar/local_execution.cc and net/upstream_client.cc.

Change: AppendBody() beside HttpCall adds the length, the empty line and the body. The bytes sent are the same.

--- a/net/upstream_client.cc
+++ b/net/upstream_client.cc
@@ -29,11 +29,6 @@
   return client;
 }
 
-bool HasBody(const wire::HttpRequest& request) {
-  return !request.body().empty() || request.method() == "POST" || request.method() == "PUT" ||
-         request.method() == "PATCH";
-}
-
 /// Returns whether the response says where its body ends. The end of any other response cannot be
 /// distinguished from a lost connection.
 bool HasLength(const HttpResponse& response) {
@@ -93,10 +88,7 @@
       call.echo_value = header.value();
     }
   }
-  if (HasBody(request)) {
-    call.message.append("Content-Length: " + std::to_string(request.body().size()) + "\r\n");
-  }
-  call.message.append("\r\n").append(request.body());
+  AppendBody(request.method(), request.body(), call.message);
   call.head = request.method() == "HEAD";
   call.echo_required = false;
   call.max_idle = idempotent ? kMaxIdleForIdempotent : Duration(this->settings.max_idle);
--- a/sidecar/http_call.h
+++ b/sidecar/http_call.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <string>
+#include <string_view>
 
 #include "masticpin/base/time.h"
 
@@ -25,4 +26,9 @@
   Duration max_idle{};
 };
 
+/// Completes a request in `message`, of which the request line and the header fields are there:
+/// adds the length if the request has a body or its method expects one, the empty line, and the
+/// body.
+void AppendBody(std::string_view method, std::string_view body, std::string& message);
+
 }  // namespace masticpin
--- a/sidecar/local_execution.cc
+++ b/sidecar/local_execution.cc
@@ -31,11 +31,6 @@
 constexpr Duration kMaxCallerWait = std::chrono::milliseconds(100);
 constexpr Duration kMaxInnerWait = std::chrono::milliseconds(400);
 
-bool HasBody(const wire::ExecutionRequest& request) {
-  return !request.body().empty() || request.method() == "POST" || request.method() == "PUT" ||
-         request.method() == "PATCH";
-}
-
 }  // namespace
 
 LocalExecution::LocalExecution(LocalExecutor& executor,
@@ -139,11 +134,7 @@
                      ? kUnknownInstance
                      : std::string_view(this->executor.InstanceName()));
   message.append("\r\n");
-  if (HasBody(this->request)) {
-    message.append("Content-Length: ").append(std::to_string(this->request.body().size()));
-    message.append("\r\n");
-  }
-  message.append("\r\n").append(this->request.body());
+  AppendBody(this->request.method(), this->request.body(), message);
   return message;
 }
 
