Let LocalInstanceState tell of a new process, and drop the node's copies of its name

Cause: three places compared names and incarnations to find that another process runs beside the node: LocalExecutor with copies made before each update, SidecarNode for a log line with two members, and a third member, compared at each update and four times a second, for the name whose entry is watched.

Change: OnEntry() says whether the entry is ignored, of the same or of a new process; the executor closes its idle connections, logs and calls LocalExecutorObserver::OnInstanceReplaced() at that one place. The new name is watched at once and not with the next tick, and own_instance_found is no longer logged for the entry of a predecessor that is ignored.

--- a/masticpin/routing/local_instance_state.cc
+++ b/masticpin/routing/local_instance_state.cc
@@ -2,19 +2,22 @@
 
 namespace masticpin {
 
-bool LocalInstanceState::OnEntry(const UpstreamInstance* entry) {
+LocalEntryEffect LocalInstanceState::OnEntry(const UpstreamInstance* entry) {
   if (this->unlisted && (entry == nullptr || entry->name != this->name)) {
-    return false;
+    return LocalEntryEffect::kIgnored;
   }
   this->unlisted = false;
   if (entry == nullptr) {
     this->leaving = !this->name.empty();
-    return true;
+    return LocalEntryEffect::kSameProcess;
   }
   this->leaving = entry->state == InstanceState::kDraining;
+  if (entry->name == this->name && entry->incarnation == this->incarnation) {
+    return LocalEntryEffect::kSameProcess;
+  }
   this->name = entry->name;
   this->incarnation = entry->incarnation;
-  return true;
+  return LocalEntryEffect::kNewProcess;
 }
 
 void LocalInstanceState::OnEntryMissing(std::string_view missing_name) {
--- a/masticpin/routing/local_instance_state.h
+++ b/masticpin/routing/local_instance_state.h
@@ -9,6 +9,15 @@
 
 namespace masticpin {
 
+/// What an entry of the registry says about the process that is known.
+enum class LocalEntryEffect : std::uint8_t {
+  /// The entry is that of a predecessor and has no effect.
+  kIgnored,
+  kSameProcess,
+  /// Another process runs now.
+  kNewProcess,
+};
+
 struct LocalInstanceStateSettings {
   /// Time that a new instance has to register. One whose entry the registry does not have after
   /// that has left.
@@ -27,8 +36,8 @@
       : clock(clock), settings(settings) {}
 
   /// Applies the entry that the registry lists for the address of the instance; nullptr if there is
-  /// none. Returns false, without effect, if it is that of a predecessor of the running instance.
-  bool OnEntry(const UpstreamInstance* entry);
+  /// none.
+  LocalEntryEffect OnEntry(const UpstreamInstance* entry);
 
   /// Records that the registry has no entry of this name. Must not be called while entries may be
   /// missing because of an outage of the registry.
@@ -44,13 +53,11 @@
   /// Name of the running instance; empty until the registry or a response has reported it.
   const std::string& Name() const { return this->name; }
 
-  /// Incarnation in the registry; 0 if the instance is not listed.
-  std::uint64_t Incarnation() const { return this->incarnation; }
-
  private:
   const Clock& clock;
   const Settings settings;
   std::string name;
+  /// Incarnation in the registry; 0 if the instance is not listed.
   std::uint64_t incarnation = 0;
   bool leaving = false;
   /// Whether the name was reported by a response and the registry has not listed it yet.
--- a/masticpin/routing/local_instance_state_test.cc
+++ b/masticpin/routing/local_instance_state_test.cc
@@ -19,7 +19,11 @@
 
 class LocalInstanceStateTest : public testing::Test {
  protected:
-  bool Apply(const UpstreamInstance& entry) { return this->state.OnEntry(&entry); }
+  /// Returns whether the entry, or the absence of one, had an effect.
+  bool Apply(const UpstreamInstance& entry) { return this->IsApplied(&entry); }
+  bool IsApplied(const UpstreamInstance* entry) {
+    return this->state.OnEntry(entry) != LocalEntryEffect::kIgnored;
+  }
 
   FakeClock clock;
   LocalInstanceState state{this->clock};
@@ -32,13 +36,24 @@
   EXPECT_TRUE(this->state.IsLeaving());
   EXPECT_TRUE(this->Apply(Entry("i-2")));
   EXPECT_FALSE(this->state.IsLeaving());
-  EXPECT_TRUE(this->state.OnEntry(nullptr));
+  EXPECT_TRUE(this->IsApplied(nullptr));
   EXPECT_TRUE(this->state.IsLeaving());
 }
 
+// Guards against requests on connections to a process that was replaced.
+TEST_F(LocalInstanceStateTest, EntryTellsOfANewProcess) {
+  UpstreamInstance entry = Entry("i-1");
+  entry.incarnation = 1;
+  EXPECT_EQ(this->state.OnEntry(&entry), LocalEntryEffect::kNewProcess);
+  EXPECT_EQ(this->state.OnEntry(&entry), LocalEntryEffect::kSameProcess);
+  entry.incarnation = 2;
+  EXPECT_EQ(this->state.OnEntry(&entry), LocalEntryEffect::kNewProcess);
+  EXPECT_EQ(this->state.OnEntry(nullptr), LocalEntryEffect::kSameProcess);
+}
+
 // Guards against a node that refuses all requests at its start, before it knows its instance.
 TEST_F(LocalInstanceStateTest, UnknownInstanceIsNotLeaving) {
-  EXPECT_TRUE(this->state.OnEntry(nullptr));
+  EXPECT_TRUE(this->IsApplied(nullptr));
   EXPECT_FALSE(this->state.IsLeaving());
 }
 
@@ -48,10 +63,10 @@
   this->Apply(Entry("i-1"));
   EXPECT_TRUE(this->state.OnNameReported("i-2"));
   EXPECT_FALSE(this->Apply(Entry("i-1", InstanceState::kDraining)));
-  EXPECT_FALSE(this->state.OnEntry(nullptr));
+  EXPECT_FALSE(this->IsApplied(nullptr));
   EXPECT_FALSE(this->state.IsLeaving());
   EXPECT_TRUE(this->Apply(Entry("i-2")));
-  EXPECT_TRUE(this->state.OnEntry(nullptr));
+  EXPECT_TRUE(this->IsApplied(nullptr));
   EXPECT_TRUE(this->state.IsLeaving());
 }
 
--- a/sidecar/local_execution.cc
+++ b/sidecar/local_execution.cc
@@ -130,9 +130,9 @@
   message.append("\r\n").append(dialect.caller_service).append(": ");
   message.append(this->request.caller_service()).append("\r\n");
   message.append(dialect.expected_instance).append(": ");
-  message.append(this->executor.InstanceName().empty()
+  message.append(this->executor.instance.Name().empty()
                      ? kUnknownInstance
-                     : std::string_view(this->executor.InstanceName()));
+                     : std::string_view(this->executor.instance.Name()));
   message.append("\r\n");
   AppendBody(this->request.method(), this->request.body(), message);
   return message;
@@ -147,7 +147,7 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(now - since).count();
   };
   spdlog::warn("event=request_sent_after_leave id={} instance={} leaving_ms={} admitted_ms={}",
-               this->request.request_id(), this->executor.InstanceName(),
+               this->request.request_id(), this->executor.instance.Name(),
                milliseconds(this->executor.leaving_since), milliseconds(this->started_at));
 }
 
@@ -206,7 +206,7 @@
   const Ref<LocalExecution> keep(this);
   const bool reached = kind != ErrorKind::kUpstreamUnreachable;
   spdlog::warn("event=upstream_call_failed id={} instance={} error={} reason=\"{}\" ran_us={}",
-               this->request.request_id(), this->executor.InstanceName(), GetErrorInfo(kind).name,
+               this->request.request_id(), this->executor.instance.Name(), GetErrorInfo(kind).name,
                reason,
                std::chrono::duration_cast<std::chrono::microseconds>(this->executor.clock.Now() -
                                                                      this->started_at)
--- a/sidecar/local_executor.cc
+++ b/sidecar/local_executor.cc
@@ -122,18 +122,18 @@
 
 void LocalExecutor::SetInstance(const UpstreamInstance* entry, std::string_view source) {
   const bool was_leaving = this->instance.IsLeaving();
-  const std::string previous_name = this->instance.Name();
-  const std::uint64_t previous_incarnation = this->instance.Incarnation();
-  if (!this->instance.OnEntry(entry)) {
+  const LocalEntryEffect effect = this->instance.OnEntry(entry);
+  if (effect == LocalEntryEffect::kIgnored) {
     return;
   }
   this->OnInstanceChanged(was_leaving, entry == nullptr ? 0 : entry->revision, source);
   if (entry == nullptr) {
     return;
   }
-  if (previous_incarnation != entry->incarnation || previous_name != entry->name) {
-    // Connections to the previous process cannot be reused.
-    this->client.CloseIdle();
+  if (effect == LocalEntryEffect::kNewProcess) {
+    spdlog::info("event=own_instance_found instance={} incarnation={} slots={}", entry->name,
+                 entry->incarnation, entry->slots);
+    this->OnNewProcess();
   }
   this->admission.SetCeiling(CeilingFor(entry->slots));
 }
@@ -177,10 +177,16 @@
   const std::string previous_name = this->instance.Name();
   if (this->instance.OnNameReported(name)) {
     spdlog::info("event=own_instance_replaced previous={} instance={}", previous_name, name);
-    this->client.CloseIdle();
+    this->OnNewProcess();
   }
 }
 
+void LocalExecutor::OnNewProcess() {
+  // Connections to the previous process cannot be reused.
+  this->client.CloseIdle();
+  this->observer.OnInstanceReplaced(this->instance.Name());
+}
+
 void LocalExecutor::SetRetries(const InstanceRetryBudgetSettings& new_retries) {
   if (this->retries.ratio != new_retries.ratio || this->retries.slack != new_retries.slack ||
       this->retries.window != new_retries.window) {
--- a/sidecar/local_executor.h
+++ b/sidecar/local_executor.h
@@ -55,9 +55,6 @@
   /// Records that the registry has no entry of this name, as LocalInstanceState::OnEntryMissing().
   void OnInstanceMissing(std::string_view name);
 
-  /// Name of the local instance; empty until the registry or a response has reported it.
-  const std::string& InstanceName() const { return this->instance.Name(); }
-
   /// Sets the number of instances of the local service, which share the retry budget; 0 if unknown.
   void SetInstanceCount(std::size_t count) { this->instance_count = count; }
 
@@ -91,6 +88,9 @@
   /// to a leaving one.
   void OnInstanceChanged(bool was_leaving, std::uint64_t revision, std::string_view source);
 
+  /// Called when the instance is another process than before.
+  void OnNewProcess();
+
   /// Records a response of the instance. Asks for its entry if it seems to leave.
   void OnInstanceResponse(bool keeps_connection);
 
--- a/sidecar/sidecar_node.cc
+++ b/sidecar/sidecar_node.cc
@@ -292,21 +292,6 @@
       this->directory.FindByAddress(this->settings.upstream_address);
   this->executor.SetInstance(local_entry, source);
   this->executor.SetInstanceCount(this->balancer.CountInstances(this->settings.service));
-  if (local_entry != nullptr && (local_entry->name != this->local_instance ||
-                                 local_entry->incarnation != this->local_incarnation)) {
-    this->local_instance = local_entry->name;
-    this->local_incarnation = local_entry->incarnation;
-    spdlog::info("event=own_instance_found instance={} incarnation={} slots={}", local_entry->name,
-                 local_entry->incarnation, local_entry->slots);
-  }
-  this->WatchLocalInstance();
-}
-
-void SidecarNode::WatchLocalInstance() {
-  if (this->executor.InstanceName() != this->watched_instance) {
-    this->watched_instance = this->executor.InstanceName();
-    this->source.SetLocalInstance(this->watched_instance);
-  }
 }
 
 void SidecarNode::UpdateReady() {
@@ -332,7 +317,6 @@
   if (this->ticks % kTicksPerCatalogRequest == 0) {
     this->peer_listener.RequestCatalog();
   }
-  this->WatchLocalInstance();
   if (this->directory.ApplySuspendedRemovals(now)) {
     this->UpdateLocalInstance("entry");
   }
--- a/sidecar/sidecar_node.h
+++ b/sidecar/sidecar_node.h
@@ -77,9 +77,8 @@
   void WaitForSignal();
   void Reload();
   void OnInstanceStateOutdated() override { this->source.RefreshLocalInstance(); }
+  void OnInstanceReplaced(const std::string& name) override { this->source.SetLocalInstance(name); }
   void UpdateLocalInstance(std::string_view source);
-  /// Watches the entry of the running instance, whose name may come from a response.
-  void WatchLocalInstance();
   void UpdateReady();
   /// Reads the configuration again if peers have had a newer one for some time.
   void CheckVersionLag(TimePoint now);
@@ -111,10 +110,6 @@
 
   bool registry_unavailable = false;
   VersionLagDetector version_lag;
-  std::string local_instance;
-  /// Name whose entry the source watches.
-  std::string watched_instance;
-  std::uint64_t local_incarnation = 0;
   bool stopping = false;
   bool stopped = false;
   /// Whether the local instance gets no more requests because the node is shutting down.
