Move the parts of a node's status out of net/node.cc

Change: node_status.h has a function each for configuration, load and members. The status is the same.

--- a/net/node.cc
+++ b/net/node.cc
@@ -9,6 +9,7 @@
 
 #include "masticpin/error/error_info.h"
 #include "masticpin/manifest/manifest_parser.h"
+#include "net/node_status.h"
 
 namespace masticpin {
 namespace {
@@ -199,28 +200,10 @@
                     : this->fleet.Gate().IsOpen() ? "serving"
                                                   : "starting";
 
-  // Configuration.
-  const Document* document = this->fleet.Documents().Find(this->settings.document);
-  nlohmann::json& configuration = status["configuration"];
-  configuration["version"] = document == nullptr ? 0 : document->version;
-  configuration["source"] = document == nullptr ? "" : document->source.ToString();
-  configuration["started_with"] = this->fleet.Gate().Source();
-  configuration["conflicts"] = this->fleet.Documents().Conflicts();
-  configuration["service_calls"] = this->fleet.Reader().Calls();
-  configuration["reader"] = this->fleet.Readers().Role() == ReaderRole::kReader;
-
-  // Load.
-  nlohmann::json& load = status["load"];
-  if (this->admission != nullptr) {
-    const LoadReport report = this->admission->GetLoad();
-    load["limit"] = report.limit;
-    load["in_flight"] = report.in_flight;
-    load["queued"] = report.queued;
-    load["threshold_importance"] = report.threshold >> 16;
-    load["threshold_rank"] = report.threshold & 0xffff;
-  }
+  status["configuration"] = ConfigurationToJson(this->fleet, this->settings.document);
+  status["load"] =
+      this->admission == nullptr ? nlohmann::json() : LoadToJson(this->admission->GetLoad());
 
-  // Actions.
   nlohmann::json& actions = status["actions"];
   actions["remembered"] = this->ledger.Size();
   actions["running"] = this->ledger.Running();
@@ -229,17 +212,7 @@
   actions["executions_in_progress"] = this->executor == nullptr ? 0 : this->executor->InProgress();
   actions["inner_contexts"] = this->inner_calls.Size();
 
-  // Members.
-  nlohmann::json& members = status["members"] = nlohmann::json::array();
-  for (const Ref<Member>& member : this->fleet.Members().Members()) {
-    static constexpr const char* kStates[] = {"live", "unreachable", "leaving"};
-    members.push_back({{"name", member->id.name},
-                       {"incarnation", member->id.incarnation},
-                       {"service", member->service},
-                       {"zone", member->zone},
-                       {"heard", member->self || member->HasContact()},
-                       {"state", kStates[static_cast<int>(member->state)]}});
-  }
+  status["members"] = MembersToJson(this->fleet);
   status["pauses"] = this->fleet.Pauses();
   return status.dump(2);
 }
