--- a/masticpin/testing/execution_simulation.h
+++ b/masticpin/testing/execution_simulation.h
@@ -14,16 +14,16 @@
 #include "masticpin/execution/execution_table.h"
 #include "masticpin/execution/home_dispatcher.h"
 #include "masticpin/testing/action_audit.h"
-#include "masticpin/testing/event_schedule.h"
 #include "masticpin/testing/execution_simulation_plan.h"
+#include "masticpin/testing/simulated_network.h"
 
 namespace masticpin {
 
 /// Simulates nodes, callers and a network with faults. Each node is both home node and executor.
-class ExecutionSimulation : private EventSchedule {
+class ExecutionSimulation : private SimulatedNetwork {
  public:
   explicit ExecutionSimulation(const ExecutionSimulationPlan& plan)
-      : EventSchedule(plan.seed), plan(plan) {
+      : SimulatedNetwork(plan.seed, plan.all_faults), plan(plan) {
     this->callers.resize(static_cast<std::size_t>(plan.actions));
     for (int i = 0; i < kNodes; ++i) {
       this->nodes[i].index = i;
@@ -49,10 +49,6 @@
   }
 
  private:
-  using milliseconds = std::chrono::milliseconds;  // NOLINT(readability-identifier-naming)
-  using seconds = std::chrono::seconds;            // NOLINT(readability-identifier-naming)
-
-  static constexpr int kNodes = 4;
   static constexpr std::uint32_t kAttempts = 4;
   static constexpr std::uint32_t kCallerTries = 10;
   static inline const ActionParameters kVote{.idempotent = false,
@@ -159,9 +155,6 @@
   struct Node {
     int index = 0;
     std::unique_ptr<Process> process;
-    TimePoint paused_until{};
-    // Side of the partition: 0 or 1.
-    int partition_side = 0;
   };
 
   struct Caller {
@@ -174,17 +167,9 @@
     int retry_timer_id = 0;
   };
 
-  // --- time, random faults, network
+  // --- time
 
-  bool FaultOccurs(int per_mille) {
-    return this->plan.all_faults &&
-           this->random.NextBelow(1000) < static_cast<std::uint64_t>(per_mille);
-  }
   static int IndexOf(const InstanceId& instance) { return instance.name.back() - '0'; }
-  bool CanReach(int from, int to) const {
-    return this->nodes[from].partition_side == this->nodes[to].partition_side;
-  }
-
   void RunFor(Duration total) {
     const TimePoint end = this->clock.Now() + total;
     while (this->clock.Now() < end) {
@@ -192,44 +177,13 @@
       this->RunDueEvents();
       const TimePoint now = this->clock.Now();
       for (Node& node : this->nodes) {
-        if (node.paused_until <= now) {
+        if (!this->IsPaused(node.index)) {
           node.process->timers.RunDue(now);
         }
       }
     }
   }
 
-  // Delivers `call` at `to`, possibly late, twice, out of order, or not at all.
-  void Transmit(int from, int to, const std::function<void()>& call) {
-    const int copies = this->FaultOccurs(80) ? 2 : 1;
-    for (int i = 0; i < copies; ++i) {
-      if (this->FaultOccurs(20)) {
-        continue;
-      }
-      Duration delay = this->RandomDuration(milliseconds(1), milliseconds(10));
-      if (this->FaultOccurs(60)) {
-        delay = this->RandomDuration(milliseconds(10), seconds(2));
-      }
-      if (this->FaultOccurs(3)) {
-        delay = this->RandomDuration(seconds(3), seconds(200));
-      }
-      this->ScheduleAfter(delay, [this, from, to, call] { this->Deliver(from, to, call); });
-    }
-  }
-  void Deliver(int from, int to, const std::function<void()>& call) {
-    Node& node = this->nodes[to];
-    if (!this->CanReach(from, to)) {
-      return;
-    }
-    if (node.paused_until > this->clock.Now()) {
-      // Sockets buffer the messages that arrive while the process is paused.
-      this->ScheduleAfter(node.paused_until - this->clock.Now(),
-                          [this, from, to, call] { this->Deliver(from, to, call); });
-      return;
-    }
-    call();
-  }
-
   // --- faults
 
   void StartProcess(int index) {
@@ -256,21 +210,16 @@
   void ScheduleFaults(Duration load) {
     for (int i = 0; i < 30; ++i) {
       this->ScheduleAfter(this->RandomDuration(seconds(1), load), [this] {
-        for (Node& node : this->nodes) {
-          node.partition_side = static_cast<int>(this->random.NextBelow(2));
-        }
-        this->ScheduleAfter(this->RandomDuration(seconds(1), seconds(15)), [this] {
-          for (Node& node : this->nodes) {
-            node.partition_side = 0;
-          }
-        });
+        this->Partition();
+        this->ScheduleAfter(this->RandomDuration(seconds(1), seconds(15)),
+                            [this] { this->EndPartition(); });
       });
     }
     for (Duration at = seconds(3); at < load; at += seconds(3)) {
       this->ScheduleAfter(at, [this] {
         for (const Node& a : this->nodes) {
           for (const Node& b : this->nodes) {
-            if (this->CanReach(a.index, b.index) && a.paused_until <= this->clock.Now()) {
+            if (this->CanReach(a.index, b.index) && !this->IsPaused(a.index)) {
               this->UpdateView(b.index, a.index);
             }
           }
@@ -290,9 +239,8 @@
       // One pause in twenty is longer than the lifetime of a key.
       const Duration pause =
           this->Chance(5) ? seconds(130) : this->RandomDuration(milliseconds(50), seconds(4));
-      this->ScheduleAfter(this->RandomDuration(seconds(1), load), [this, index, pause] {
-        this->nodes[index].paused_until = this->clock.Now() + pause;
-      });
+      this->ScheduleAfter(this->RandomDuration(seconds(1), load),
+                          [this, index, pause] { this->Pause(index, pause); });
     }
     for (int i = 0; i < 6; ++i) {
       const int index = static_cast<int>(this->random.NextBelow(kNodes));
