Log delayed requests and cancelled executions, and stamp requests with the sender's clock

Cause: the log could not tell whether a request that reached its instance after its caller had left was delivered late, was sent although the close could be known, or was cancelled too late.

Change: requests between nodes carry the reading of the sender's steady clock. TransitTimeEstimator derives from it how long a request was under way; one that took over 0.2 s is logged (event=request_delayed) and counted (masticpin_executions_delayed). event=execution_cancelled tells whether the request ran and how much of it the server's host had not acknowledged; event=caller_gone tells how long after the request the close was read, and event=peer_lost how many bytes were still under way. No decision changes. Requests of older nodes have no reading.

--- a/sidecar/frame_stream.cc
+++ b/sidecar/frame_stream.cc
@@ -8,6 +8,8 @@
 #include <boost/asio/write.hpp>
 #include <utility>
 
+#include "sidecar/tcp_connection_state.h"
+
 namespace masticpin {
 namespace {
 
@@ -45,6 +47,10 @@
   this->socket.close(ignored);
 }
 
+std::size_t FrameStream::UnacknowledgedBytes() {
+  return masticpin::UnacknowledgedBytes(this->socket);
+}
+
 void FrameStream::Read() {
   this->socket.async_read_some(
       boost::asio::buffer(this->read_buffer.get(), kReadBytes),
--- a/sidecar/frame_stream.h
+++ b/sidecar/frame_stream.h
@@ -30,6 +30,9 @@
   /// Closes the connection without a callback.
   void Close();
 
+  /// Number of bytes that were handed to the kernel and that the peer's host has not acknowledged.
+  std::size_t UnacknowledgedBytes();
+
  private:
   static constexpr std::size_t kReadBytes = std::size_t{16} << 10;
 
--- a/sidecar/http_client_connection.cc
+++ b/sidecar/http_client_connection.cc
@@ -12,6 +12,7 @@
 #include "sidecar/http_client.h"
 #include "sidecar/http_framing.h"
 #include "sidecar/tcp_address.h"
+#include "sidecar/tcp_connection_state.h"
 
 namespace masticpin {
 
@@ -85,6 +86,10 @@
                    HashId(next_call.echo_value)) != this->sent_requests.end();
 }
 
+std::size_t HttpClientConnection::UnacknowledgedBytes() {
+  return masticpin::UnacknowledgedBytes(this->socket);
+}
+
 bool HttpClientConnection::HasUnreadBytes() const {
   boost::system::error_code ignored;  // After an error the pending read closes the connection.
   return this->socket.available(ignored) > 0;
--- a/sidecar/http_client_connection.h
+++ b/sidecar/http_client_connection.h
@@ -49,6 +49,9 @@
   /// Whether the connection is still being opened, so that no byte of the call was sent.
   bool IsConnecting() const { return this->connecting; }
 
+  /// Number of bytes of the call that the server's host has not acknowledged.
+  std::size_t UnacknowledgedBytes();
+
   /// Whether the same request was sent on this connection before. A second copy of its response may
   /// still arrive and could not be told from the response to the second send.
   bool HasSent(const HttpCall& next_call) const;
--- a/sidecar/local_execution.cc
+++ b/sidecar/local_execution.cc
@@ -55,6 +55,14 @@
 void LocalExecution::Cancel() {
   const Ref<LocalExecution> keep(this);
   this->observer = nullptr;
+  spdlog::info(
+      "event=execution_cancelled id={} idempotent={} running={} unacknowledged_bytes={} ran_ms={}",
+      this->request.request_id(), this->request.idempotent(), this->is_running,
+      this->is_running ? this->connection->UnacknowledgedBytes() : 0,
+      this->is_running ? std::chrono::duration_cast<std::chrono::milliseconds>(
+                             this->executor.clock.Now() - this->started_at)
+                             .count()
+                       : 0);
   if (this->executor.admission.Withdraw(*this)) {
     this->ended = true;
     this->executor.OnEnded(*this);
--- a/sidecar/local_executor.h
+++ b/sidecar/local_executor.h
@@ -74,6 +74,9 @@
   const LocalExecutorStatistics& Statistics() const { return this->statistics; }
   std::uint64_t OpenedConnections() const { return this->client.OpenedConnections(); }
 
+  /// Records a request that was under way from its node for a long time.
+  void CountDelayed() { ++this->statistics.delayed; }
+
   /// Called when the entry of the local instance was read and applied. Ends the wait of requests
   /// for it.
   void OnInstanceStateRead();
--- a/sidecar/local_executor_statistics.h
+++ b/sidecar/local_executor_statistics.h
@@ -21,6 +21,8 @@
   std::uint64_t broken = 0;
   /// Sent to the instance although the node knew that it is leaving.
   std::uint64_t sent_after_leave = 0;
+  /// Under way from their nodes for a long time before they were offered.
+  std::uint64_t delayed = 0;
 };
 
 }  // namespace masticpin
--- a/sidecar/peer_link.cc
+++ b/sidecar/peer_link.cc
@@ -58,6 +58,7 @@
   *frame.mutable_request() = std::move(request);
   frame.mutable_request()->clear_caller_service();
   const TimePoint now = this->clock.Now();
+  frame.mutable_request()->set_sender_clock_us(ToClockMicroseconds(now));
   if (this->calls.empty()) {
     // A peer may send nothing while no request is in progress, so silence is measured from this
     // one.
@@ -219,9 +220,12 @@
   }
   const std::string text(reason);
   if (!this->calls.empty()) {
-    spdlog::warn("event=peer_lost peer={} address={} requests={} error={} reason=\"{}\"",
-                 this->instance, this->address.ToString(), this->calls.size(),
-                 GetErrorInfo(kind).name, text);
+    spdlog::warn(
+        "event=peer_lost peer={} address={} requests={} unacknowledged_bytes={} error={} "
+        "reason=\"{}\"",
+        this->instance, this->address.ToString(), this->calls.size(),
+        this->stream == nullptr ? 0 : this->stream->UnacknowledgedBytes(), GetErrorInfo(kind).name,
+        text);
   }
   this->state = State::kClosed;
   this->timers.Cancel(*this);
--- a/sidecar/peer_listener.cc
+++ b/sidecar/peer_listener.cc
@@ -20,6 +20,7 @@
                            const Clock& clock,
                            TimerService& timers)
     : acceptor(loop, *this, clock, timers),
+      clock(clock),
       executor(executor),
       local_service(std::move(local_service)),
       catalog_store(catalog_store) {}
@@ -61,7 +62,7 @@
   EnableDeadPeerDetection(socket);
   const Ref<PeerSession> session(new PeerSession(std::move(socket), this->executor,
                                                  this->local_service, this->catalog_store,
-                                                 this->next_call_id));
+                                                 this->next_call_id, this->clock));
   this->sessions.push_back(*session);
   session->Start();
   if (this->leaving) {
--- a/sidecar/peer_listener.h
+++ b/sidecar/peer_listener.h
@@ -41,6 +41,7 @@
   void OnConnection(boost::asio::ip::tcp::socket socket) override;
 
   TcpAcceptor acceptor;
+  const Clock& clock;
   LocalExecutor& executor;
   const std::string local_service;
   CatalogStore& catalog_store;
--- a/sidecar/peer_protocol.cc
+++ b/sidecar/peer_protocol.cc
@@ -1,7 +1,20 @@
 #include "sidecar/peer_protocol.h"
 
+#include <algorithm>
+
 namespace masticpin {
 
+std::uint64_t ToClockMicroseconds(TimePoint time) {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(time.time_since_epoch()).count());
+}
+
+Duration FromClockMicroseconds(std::uint64_t microseconds) {
+  // Bounds readings that no clock shows, so that differences between them do not overflow.
+  constexpr std::uint64_t kMaxMicroseconds = std::uint64_t{1} << 52;
+  return std::chrono::microseconds(std::min(microseconds, kMaxMicroseconds));
+}
+
 LoadReport DecodeLoadReport(const wire::LoadReport& load) {
   return LoadReport{load.limit(), load.in_flight(), load.queued(), load.threshold(),
                     load.repeats_left()};
--- a/sidecar/peer_session.cc
+++ b/sidecar/peer_session.cc
@@ -7,16 +7,26 @@
 #include "sidecar/peer_protocol.h"
 
 namespace masticpin {
+namespace {
+
+/// A request that was under way for longer than this was delayed. Work for a caller that left has
+/// to end within 0.5 s; the rest of that time is for the queue and for the cancel frame.
+constexpr Duration kMaxTransitTime = std::chrono::milliseconds(200);
+
+}  // namespace
 
 PeerSession::PeerSession(boost::asio::ip::tcp::socket socket,
                          LocalExecutor& executor,
                          const std::string& local_service,
                          CatalogStore& catalog_store,
-                         std::uint64_t& next_call_id)
+                         std::uint64_t& next_call_id,
+                         const Clock& clock)
     : executor(executor),
       local_service(local_service),
       catalog_store(catalog_store),
       next_call_id(next_call_id),
+      clock(clock),
+      transit_time(clock.Now()),
       stream(new FrameStream(std::move(socket), *this)) {}
 
 PeerSession::~PeerSession() {
@@ -102,6 +112,23 @@
   this->Close();
 }
 
+bool PeerSession::WasDelayed(const wire::ExecutionRequest& request) {
+  if (request.sender_clock_us() == 0) {
+    return false;  // The peer is of an older version.
+  }
+  const std::optional<Duration> transit = this->transit_time.OnMessage(
+      FromClockMicroseconds(request.sender_clock_us()), this->clock.Now());
+  if (transit && *transit <= kMaxTransitTime) {
+    return false;
+  }
+  spdlog::info(
+      "event=request_delayed id={} caller_service={} transit_ms={}", request.request_id(),
+      this->caller_service,
+      transit ? std::chrono::duration_cast<std::chrono::milliseconds>(*transit).count() : -1);
+  this->executor.CountDelayed();
+  return true;
+}
+
 void PeerSession::OnRequest(wire::ExecutionRequest& request) {
   const std::uint64_t peer_call_id = request.call();
   const std::uint64_t call = this->next_call_id++;
@@ -118,6 +145,7 @@
     observer.OnExecutionReply(refusal);
     return;
   }
+  this->WasDelayed(request);
   request.set_call(call);
   request.set_caller_service(this->caller_service);
   this->executor.Execute(std::move(request), observer);
--- a/sidecar/peer_session.h
+++ b/sidecar/peer_session.h
@@ -6,7 +6,9 @@
 #include <map>
 #include <memory>
 
+#include "masticpin/base/clock.h"
 #include "masticpin/base/ref_counted.h"
+#include "masticpin/membership/transit_time_estimator.h"
 #include "sidecar/catalog_store.h"
 #include "sidecar/execution_observer.h"
 #include "sidecar/frame_stream.h"
@@ -27,7 +29,8 @@
               LocalExecutor& executor,
               const std::string& local_service,
               CatalogStore& catalog_store,
-              std::uint64_t& next_call_id);
+              std::uint64_t& next_call_id,
+              const Clock& clock);
   ~PeerSession() override;
 
   void Start();
@@ -66,11 +69,15 @@
   void OnFrame(wire::PeerFrame& frame) override;
   void OnStreamClosed(std::string_view reason) override;
   void OnRequest(wire::ExecutionRequest& request);
+  /// Returns whether the request was under way for so long that its caller may have left meanwhile.
+  bool WasDelayed(const wire::ExecutionRequest& request);
 
   LocalExecutor& executor;
   const std::string& local_service;
   CatalogStore& catalog_store;
   std::uint64_t& next_call_id;
+  const Clock& clock;
+  TransitTimeEstimator transit_time;
   /// From the peer's hello frame.
   std::string caller_service;
   bool service_matches = false;
--- a/sidecar/routed_request.cc
+++ b/sidecar/routed_request.cc
@@ -483,8 +483,11 @@
   if (this->throttle_admitted) {
     this->router.GetThrottle(*this->route).OnEnd(this->exchange->ArrivedAt(), this->chain_refused);
   }
-  spdlog::info("event=caller_gone id={} route={} instance={}", this->id, this->route->name,
-               this->instance);
+  spdlog::info("event=caller_gone id={} route={} instance={} idempotent={} sends={} ms={}",
+               this->id, this->route->name, this->instance, this->route->idempotent, this->sends,
+               std::chrono::duration_cast<std::chrono::milliseconds>(this->router.clock.Now() -
+                                                                     this->exchange->ArrivedAt())
+                   .count());
   this->self.reset();
 }
 
--- a/sidecar/sidecar_node.cc
+++ b/sidecar/sidecar_node.cc
@@ -395,6 +395,8 @@
   set("masticpin_executions_sent_after_leave",
       "Requests sent to the upstream although it was known to leave, since the start.",
       done.sent_after_leave);
+  set("masticpin_executions_delayed",
+      "Requests of other nodes that were under way for over 0.2 s, since the start.", done.delayed);
   set("masticpin_upstream_connections", "Connections opened to the upstream since the start.",
       this->executor.OpenedConnections());
 }
--- /dev/null
+++ b/sidecar/tcp_connection_state.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <cstddef>
+
+namespace masticpin {
+
+/// Returns the number of bytes that were written to the socket and that the remote host has not
+/// acknowledged; 0 if the socket is closed. The remote application may not have read acknowledged
+/// bytes yet.
+std::size_t UnacknowledgedBytes(boost::asio::ip::tcp::socket& socket);
+
+/// Returns whether the remote side has closed or reset the connection, even if bytes that it sent
+/// before are still unread.
+bool IsClosedByRemote(boost::asio::ip::tcp::socket& socket);
+
+}  // namespace masticpin
