Add failing tests for work that goes on for callers that left

Each of the seven tests plays one way in which a request reaches an instance, or an instance works on, after the caller's connection was closed.

--- /dev/null
+++ b/sidecar/caller_disconnect_test.cc
@@ -0,0 +1,200 @@
+#include <gtest/gtest.h>
+
+#include <memory>
+
+#include "sidecar/local_executor.h"
+#include "sidecar/testing/raw_peer.h"
+#include "sidecar/testing/sidecar_node_fixture.h"
+#include "sidecar/testing/stalled_host.h"
+
+namespace masticpin {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Time after the close of a caller's connection within which all work for the caller must end.
+constexpr Duration kMaxWorkAfterClose = milliseconds(500);
+
+/// Larger than all that a stalled host takes.
+constexpr std::size_t kLargeBodyBytes = 300'000;
+
+void IgnoreRequest(Connection&, const std::string&) {}
+
+class CallerDisconnectTest : public SidecarNodeFixture {
+ protected:
+  /// Machine 0 has an instance of "front", machine 1 of "page".
+  void AddMachines(const ScriptedServer::Handler& handler) {
+    this->fleet.AddMachine("front", handler);
+    this->fleet.AddMachine("page", handler);
+    for (const std::string service : {"front", "page"}) {
+      this->fleet.AddRoute(service + "-read", service, true);
+      this->fleet.AddRoute(service + "-write", service, false);
+    }
+  }
+};
+
+// Guards against a request that is sent although its caller has already closed the connection,
+// whenever the node reads both late.
+TEST_F(CallerDisconnectTest, RequestIsNotSentIfItsCallerHasClosedBeforeItIsRead) {
+  this->AddMachines(IgnoreRequest);
+  this->fleet.Start();
+  this->fleet.RunFor(milliseconds(20));
+  for (const std::string route : {"front-read", "front-write", "page-read", "page-write"}) {
+    RawCaller caller(this->fleet.Loop(), this->fleet.RequestAddress(0));
+    caller.Send(TestFleet::MakeRequest(route, route));
+    caller.Close();
+    this->fleet.RunFor(milliseconds(200));
+    EXPECT_EQ(this->RequestCount(0) + this->RequestCount(1), 0U) << route;
+  }
+}
+
+// Guards against work for a caller that has closed a connection with more pipelined requests than
+// the node reads.
+TEST_F(CallerDisconnectTest, PipelinedRequestsEndWithTheirConnection) {
+  this->AddMachines(IgnoreRequest);
+  this->fleet.At(0).entry.slots = 40;
+  this->fleet.Start();
+  RawCaller caller(this->fleet.Loop(), this->fleet.RequestAddress(0));
+  const std::string padding = "Padding: " + std::string(4000, 'x') + "\r\n";
+  for (int i = 0; i < 60; ++i) {
+    caller.Send(TestFleet::MakeRequest(std::to_string(i), "front-read", "GET", padding));
+  }
+  this->fleet.RunFor(milliseconds(200));
+  const std::size_t sent = this->RequestCount(0);
+  ASSERT_GT(sent, 0U);
+
+  caller.Close();
+  this->fleet.RunFor(kMaxWorkAfterClose);
+  EXPECT_EQ(this->RequestCount(0), sent);
+  for (const auto& connection : this->fleet.At(0).upstream->Connections()) {
+    EXPECT_TRUE(connection->IsClosedByPeer());
+  }
+}
+
+// Guards against a request that reaches another node together with its cancel frame, after the link
+// was cut, and is sent because its frame comes first.
+TEST_F(CallerDisconnectTest, DelayedRequestIsNotSentIfItsCancelArrivesWithIt) {
+  this->AddMachines(IgnoreRequest);
+  this->fleet.Start();
+  RawPeer peer(this->fleet.Loop(), this->fleet.At(1).settings.peer_address, "page", "front");
+  peer.Send(RawPeer::MakeRequest(1, "timely", true));
+  ASSERT_TRUE(this->fleet.RunUntil([&] { return this->RequestCount(1) == 1; }));
+  for (const bool idempotent : {true, false}) {
+    const std::uint64_t call = idempotent ? 2 : 3;
+    peer.Send(RawPeer::MakeRequest(call, "late", idempotent, seconds(1)));
+    peer.Send(RawPeer::MakeCancel(call));
+    this->fleet.RunFor(milliseconds(300));
+    EXPECT_EQ(this->RequestCount(1), 1U) << "idempotent: " << idempotent;
+  }
+}
+
+// Guards against a request that the kernel still delivers to another node after its caller has
+// left, when the cut of the link ends.
+TEST_F(CallerDisconnectTest, RequestOnAStuckLinkIsNotDeliveredAfterItsCallerLeft) {
+  this->AddMachines(RespondToAll);
+  this->fleet.Start();
+  this->fleet.Kill(1);
+  const SocketAddress& address = this->fleet.At(1).settings.peer_address;
+  StalledHost peer(this->fleet.Loop(), address.ip, address.port);
+  RawCaller caller(this->fleet.Loop(), this->fleet.RequestAddress(0));
+  caller.Send(
+      TestFleet::MakeRequest("1", "page-read", "POST", "", std::string(kLargeBodyBytes, 'x')));
+  this->fleet.RunUntil([&] { return peer.IsConnected(); });
+  this->fleet.RunFor(milliseconds(100));
+
+  caller.Close();
+  this->fleet.RunFor(kMaxWorkAfterClose);
+  peer.Resume();
+  this->fleet.RunUntil([&] { return peer.IsClosedByPeer(); }, seconds(1));
+  EXPECT_TRUE(peer.IsClosedByPeer());
+  EXPECT_LT(peer.Received().size(), kLargeBodyBytes);
+}
+
+/// Tests of the executor alone, with a server that is not an instance of a fleet.
+class CancelledExecutionTest : public testing::Test,
+                               private LocalExecutorObserver,
+                               private ExecutionObserver {
+ protected:
+  LocalExecutor& StartExecutor(const SocketAddress& address) {
+    LocalExecutorObserver& observer = *this;
+    this->executor = std::make_unique<LocalExecutor>(
+        this->loop, this->clock, this->timers, this->random, this->dialect, address,
+        HttpClientSettings{}, InstanceRetryBudgetSettings{}, observer);
+    return *this->executor;
+  }
+
+  void Execute(bool idempotent, Duration remaining, std::size_t body_bytes) {
+    wire::ExecutionRequest request = RawPeer::MakeRequest(kCall, "request", idempotent).request();
+    request.set_method("POST");
+    request.set_body(std::string(body_bytes, 'x'));
+    request.set_remaining_us(static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(remaining).count()));
+    this->executor->Execute(std::move(request), *this);
+  }
+
+  void RunFor(Duration time) {
+    this->loop.restart();
+    this->loop.run_for(time);
+  }
+
+  static constexpr std::uint64_t kCall = 7;
+
+  boost::asio::io_context loop;
+  SystemClock clock;
+  SeededRandom random{5};
+  LoopTimerService timers{loop, clock};
+  HttpDialect dialect = FakeDeployment().Dialect();
+  std::unique_ptr<LocalExecutor> executor;
+
+ private:
+  void OnInstanceReplaced(const std::string&) override {}
+  void OnInstanceStateOutdated() override {}
+  void OnExecutionReply(const wire::ExecutionReply&) override {}
+  void OnExecutionLost(ErrorKind, std::string_view) override {}
+};
+
+// Guards against a request that is not idempotent and is sent when its connection opens, after its
+// caller has left.
+TEST_F(CancelledExecutionTest, RequestWithoutAConnectionIsNotSent) {
+  ScriptedServer server(this->loop, "127.0.0.1", IgnoreRequest);
+  this->StartExecutor(server.Address());
+  for (const bool idempotent : {true, false}) {
+    this->Execute(idempotent, seconds(3), 1);
+    this->executor->Cancel(kCall);
+    this->RunFor(milliseconds(200));
+    EXPECT_EQ(server.Requests().size(), 0U) << "idempotent: " << idempotent;
+  }
+}
+
+// Guards against a request that the kernel still delivers to the instance after its caller has
+// left, when the cut between the node and the instance ends.
+TEST_F(CancelledExecutionTest, RequestThatTheHostDidNotAcknowledgeIsNotDelivered) {
+  for (const bool idempotent : {true, false}) {
+    StalledHost server(this->loop, "127.0.0.1");
+    this->StartExecutor(server.Address());
+    this->Execute(idempotent, seconds(3), kLargeBodyBytes);
+    this->RunFor(milliseconds(100));
+    this->executor->Cancel(kCall);
+    server.Resume();
+    this->RunFor(milliseconds(300));
+    EXPECT_TRUE(server.IsClosedByPeer()) << "idempotent: " << idempotent;
+    EXPECT_LT(server.Received().size(), kLargeBodyBytes) << "idempotent: " << idempotent;
+  }
+}
+
+// Guards against the same after the deadline of the request, when its caller was told that it may
+// have run.
+TEST_F(CancelledExecutionTest, RequestWhoseDeadlinePassedIsNotDelivered) {
+  StalledHost server(this->loop, "127.0.0.1");
+  this->StartExecutor(server.Address());
+  this->Execute(true, milliseconds(100), kLargeBodyBytes);
+  this->RunFor(milliseconds(400));
+  server.Resume();
+  this->RunFor(milliseconds(300));
+  EXPECT_TRUE(server.IsClosedByPeer());
+  EXPECT_LT(server.Received().size(), kLargeBodyBytes);
+}
+
+}  // namespace
+}  // namespace masticpin
--- /dev/null
+++ b/sidecar/testing/raw_peer.cc
@@ -0,0 +1,61 @@
+#include "sidecar/testing/raw_peer.h"
+
+#include <algorithm>
+#include <boost/asio/ip/tcp.hpp>
+
+#include "sidecar/peer_protocol.h"
+#include "sidecar/tcp_address.h"
+
+namespace masticpin {
+
+RawPeer::RawPeer(boost::asio::io_context& loop,
+                 const SocketAddress& address,
+                 const std::string& service,
+                 const std::string& caller_service) {
+  boost::asio::ip::tcp::socket socket(loop);
+  socket.connect(ToEndpoint(address));
+  this->stream = Ref<FrameStream>(new FrameStream(std::move(socket), *this));
+  wire::PeerFrame hello;
+  hello.mutable_hello()->set_protocol(kPeerProtocolVersion);
+  hello.mutable_hello()->set_service(service);
+  hello.mutable_hello()->set_caller_service(caller_service);
+  this->stream->Send(hello);
+  this->stream->Start();
+}
+
+void RawPeer::Send(const std::vector<wire::PeerFrame>& frames) {
+  for (const wire::PeerFrame& frame : frames) {
+    this->stream->Send(frame);
+  }
+}
+
+wire::PeerFrame RawPeer::MakeRequest(std::uint64_t call,
+                                     const std::string& id,
+                                     bool idempotent,
+                                     Duration age) {
+  wire::PeerFrame frame;
+  wire::ExecutionRequest& request = *frame.mutable_request();
+  request.set_call(call);
+  request.set_request_id(id);
+  request.set_method(idempotent ? "GET" : "POST");
+  request.set_target("/r/1");
+  request.set_header_lines("Host: test.example\r\n");
+  request.set_remaining_us(3'000'000);
+  request.set_idempotent(idempotent);
+  request.set_sender_clock_us(ToClockMicroseconds(std::chrono::steady_clock::now() - age));
+  return frame;
+}
+
+wire::PeerFrame RawPeer::MakeCancel(std::uint64_t call) {
+  wire::PeerFrame frame;
+  frame.mutable_cancel()->set_call(call);
+  return frame;
+}
+
+std::size_t RawPeer::Count(wire::PeerFrame::BodyCase kind) const {
+  return static_cast<std::size_t>(
+      std::count_if(this->received.begin(), this->received.end(),
+                    [kind](const wire::PeerFrame& frame) { return frame.body_case() == kind; }));
+}
+
+}  // namespace masticpin
--- /dev/null
+++ b/sidecar/testing/raw_peer.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <string>
+#include <vector>
+
+#include "masticpin/base/socket_address.h"
+#include "masticpin/base/time.h"
+#include "sidecar/frame_observer.h"
+#include "sidecar/frame_stream.h"
+
+namespace masticpin {
+
+/// A connection to a node that speaks the protocol between nodes and lets the test choose each
+/// frame.
+class RawPeer : private FrameObserver {
+ public:
+  /// Connects and says hello, as a node of `caller_service` that sends requests for `service`.
+  RawPeer(boost::asio::io_context& loop,
+          const SocketAddress& address,
+          const std::string& service,
+          const std::string& caller_service);
+  ~RawPeer() override { this->stream->Close(); }
+
+  void Send(const wire::PeerFrame& frame) { this->stream->Send(frame); }
+  void Send(const std::vector<wire::PeerFrame>& frames);
+
+  /// Returns a request that was sent `age` ago.
+  static wire::PeerFrame MakeRequest(std::uint64_t call,
+                                     const std::string& id,
+                                     bool idempotent,
+                                     Duration age = Duration::zero());
+  static wire::PeerFrame MakeCancel(std::uint64_t call);
+
+  /// All frames received so far.
+  const std::vector<wire::PeerFrame>& Received() const { return this->received; }
+  std::size_t Count(wire::PeerFrame::BodyCase kind) const;
+  bool IsClosedByPeer() const { return this->closed_by_peer; }
+
+ private:
+  void OnFrame(wire::PeerFrame& frame) override { this->received.push_back(frame); }
+  void OnStreamClosed(std::string_view) override { this->closed_by_peer = true; }
+
+  Ref<FrameStream> stream;
+  std::vector<wire::PeerFrame> received;
+  bool closed_by_peer = false;
+};
+
+}  // namespace masticpin
