Do not send requests whose caller closed the connection before they were read

Callers saw nothing, but work was started for them after they had left: a node that read late, after a pause or in a surge, found a request and the end of the stream behind it, sent the request and cancelled it then. One that is not idempotent ran to its end.

Cause: HttpSession parses and starts what a read returned before it reads on. The end of the stream is the next read.

Change: before the first request of a read is started, the connection is asked for its end (POLLRDHUP, which the kernel reports also behind unread bytes). One system call for each read that completes a request.

--- a/sidecar/http_session.cc
+++ b/sidecar/http_session.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "sidecar/http_framing.h"
+#include "sidecar/tcp_connection_state.h"
 
 namespace masticpin {
 
@@ -155,6 +156,7 @@
 }
 
 bool HttpSession::Parse() {
+  bool checked_for_close = false;
   while (!this->closed && !this->input_ended && this->exchanges.size() < kMaxPipelined) {
     if (!this->parser) {
       this->StartParser();
@@ -184,6 +186,13 @@
       break;
     }
     if (this->parser->is_done()) {
+      // The caller may have left before its requests were read.
+      if (!checked_for_close && IsClosedByRemote(this->socket)) {
+        spdlog::info("event=caller_gone_unread pending={}", this->exchanges.size());
+        this->Close();
+        return false;
+      }
+      checked_for_close = true;
       this->OnMessage();
       continue;
     }
