Notice the close of a connection that is not read

Callers that pipelined more than 16 requests and 64 KiB and then left had up to 16 requests at work until the first response or their deadline: while that much waits, the node does not read, so it did not see the end of the stream.

Cause: reading doubles as the detection of the close, and the limit on waiting bytes stops both.

Change: while a connection is not read, its end is looked for every 0.1 s. The limit is 256 KiB, because the end of the stream arrives only once all bytes before it are in the node or in the kernel's receive buffer. A caller that leaves more than both behind is still noticed only at the next response.

--- a/sidecar/caller_disconnect_test.cc
+++ b/sidecar/caller_disconnect_test.cc
@@ -32,6 +32,30 @@
       this->fleet.AddRoute(service + "-write", service, false);
     }
   }
+
+  /// Sends `count` requests of 4 KB on one connection to an instance that does not respond, closes
+  /// the connection, and expects the work for it to end.
+  void CloseAfterPipelinedRequests(int count) {
+    this->AddMachines(IgnoreRequest);
+    this->fleet.At(0).entry.slots = 40;
+    this->fleet.Start();
+    RawCaller caller(this->fleet.Loop(), this->fleet.RequestAddress(0));
+    const std::string padding = "Padding: " + std::string(4000, 'x') + "\r\n";
+    for (int i = 0; i < count; ++i) {
+      caller.Send(TestFleet::MakeRequest(std::to_string(i), "front-read", "GET", padding));
+      this->fleet.RunFor(milliseconds(1));
+    }
+    this->fleet.RunFor(milliseconds(100));
+    const std::size_t sent = this->RequestCount(0);
+    ASSERT_GT(sent, 0U);
+
+    caller.Close();
+    this->fleet.RunFor(kMaxWorkAfterClose);
+    EXPECT_EQ(this->RequestCount(0), sent);
+    for (const auto& connection : this->fleet.At(0).upstream->Connections()) {
+      EXPECT_TRUE(connection->IsClosedByPeer());
+    }
+  }
 };
 
 // Guards against a request that is sent although its caller has already closed the connection,
@@ -50,26 +74,14 @@
 }
 
 // Guards against work for a caller that has closed a connection with more pipelined requests than
-// the node reads.
+// the node passes on.
 TEST_F(CallerDisconnectTest, PipelinedRequestsEndWithTheirConnection) {
-  this->AddMachines(IgnoreRequest);
-  this->fleet.At(0).entry.slots = 40;
-  this->fleet.Start();
-  RawCaller caller(this->fleet.Loop(), this->fleet.RequestAddress(0));
-  const std::string padding = "Padding: " + std::string(4000, 'x') + "\r\n";
-  for (int i = 0; i < 60; ++i) {
-    caller.Send(TestFleet::MakeRequest(std::to_string(i), "front-read", "GET", padding));
-  }
-  this->fleet.RunFor(milliseconds(200));
-  const std::size_t sent = this->RequestCount(0);
-  ASSERT_GT(sent, 0U);
+  this->CloseAfterPipelinedRequests(60);
+}
 
-  caller.Close();
-  this->fleet.RunFor(kMaxWorkAfterClose);
-  EXPECT_EQ(this->RequestCount(0), sent);
-  for (const auto& connection : this->fleet.At(0).upstream->Connections()) {
-    EXPECT_TRUE(connection->IsClosedByPeer());
-  }
+// Guards against the same with so many requests that the node does not read all of them.
+TEST_F(CallerDisconnectTest, PipelinedRequestsEndWithAConnectionThatIsNotRead) {
+  this->CloseAfterPipelinedRequests(88);
 }
 
 // Guards against a request that reaches another node together with its cancel frame, after the link
--- a/sidecar/http_session.cc
+++ b/sidecar/http_session.cc
@@ -26,9 +26,15 @@
 constexpr Duration kIdleMargin = std::chrono::milliseconds(500);
 
 /// While the maximum number of requests is in progress, the connection is read only until this many
-/// unparsed bytes are buffered. Also the capacity above which the output buffer is released after a
-/// write.
-constexpr std::size_t kMaxUnparsedBytes = std::size_t{64} << 10;
+/// unparsed bytes are buffered. The end of the stream is seen only if everything before it fits in
+/// here and in the receive buffer of the kernel.
+constexpr std::size_t kMaxUnparsedBytes = std::size_t{256} << 10;
+
+/// Capacity above which the output buffer is released after a write.
+constexpr std::size_t kMaxRetainedOutputBytes = std::size_t{64} << 10;
+
+/// While the connection is not read, its end is looked for at this interval.
+constexpr Duration kCloseCheckInterval = std::chrono::milliseconds(100);
 
 /// Maximum size of the line before a chunk, and of the trailer fields. The parser consumes them
 /// only when they are complete.
@@ -81,6 +87,11 @@
 
 void HttpSession::OnTimer(TimePoint) {
   if (!this->exchanges.empty() && !this->writing) {
+    if (IsClosedByRemote(this->socket)) {
+      this->Close();
+    } else {
+      this->ScheduleTimeout();
+    }
     return;
   }
   spdlog::debug("event=caller_timeout writing={} partial_bytes={}", this->writing,
@@ -97,8 +108,12 @@
     return;
   }
   if (!this->exchanges.empty()) {
-    // The request in progress has its own deadline.
-    this->timers.Cancel(*this);
+    // The requests in progress have their own deadlines.
+    if (this->IsReadingPaused()) {
+      this->timers.Schedule(*this, this->clock.Now() + kCloseCheckInterval);
+    } else {
+      this->timers.Cancel(*this);
+    }
     return;
   }
   const RequestLimits limits = this->handler.Limits();
@@ -107,9 +122,12 @@
   this->timers.Schedule(*this, this->waiting_since + bound);
 }
 
+bool HttpSession::IsReadingPaused() const {
+  return this->exchanges.size() >= kMaxPipelined && this->input.size() >= kMaxUnparsedBytes;
+}
+
 void HttpSession::Read() {
-  if (this->closed || this->reading ||
-      (this->exchanges.size() >= kMaxPipelined && this->input.size() >= kMaxUnparsedBytes)) {
+  if (this->closed || this->reading || this->IsReadingPaused()) {
     return;
   }
   this->reading = true;
@@ -346,7 +364,7 @@
     this->timers.Schedule(*this, this->waiting_since + std::chrono::seconds(1));
     return;
   }
-  if (this->output.capacity() > kMaxUnparsedBytes) {
+  if (this->output.capacity() > kMaxRetainedOutputBytes) {
     std::string().swap(this->output);
   }
   this->waiting_since = this->clock.Now();
--- a/sidecar/http_session.h
+++ b/sidecar/http_session.h
@@ -54,6 +54,8 @@
   static constexpr std::size_t kReadBytes = std::size_t{8} << 10;
 
   void OnTimer(TimePoint now) override;
+  /// Whether so much is in progress and unparsed that no more is read.
+  bool IsReadingPaused() const;
   void Read();
   void OnRead(const boost::system::error_code& error, std::size_t bytes);
   /// Passes the bytes that were read to the parser. Returns false if the connection was closed.
