Do not send a request that is not idempotent after its caller left

Callers that left while their request waited for a connection to the instance, or while it was written, did not stop it: it was sent up to a second later and ran for nobody.

Cause: LocalExecution::Cancel() lets every request that is not idempotent run on, also before the instance has it.

Change: such a request is withdrawn unless the host of the instance has acknowledged all of it.

CallerDisconnectTest.DelayedRequestIsNotSentIfItsCancelArrivesWithIt now has an open connection to the instance, as most nodes have; without one it would pass by this change alone.

--- a/sidecar/caller_disconnect_test.cc
+++ b/sidecar/caller_disconnect_test.cc
@@ -87,17 +87,20 @@
 // Guards against a request that reaches another node together with its cancel frame, after the link
 // was cut, and is sent because its frame comes first.
 TEST_F(CallerDisconnectTest, DelayedRequestIsNotSentIfItsCancelArrivesWithIt) {
-  this->AddMachines(IgnoreRequest);
+  this->AddMachines(RespondToAll);
   this->fleet.Start();
   RawPeer peer(this->fleet.Loop(), this->fleet.At(1).settings.peer_address, "page", "front");
-  peer.Send(RawPeer::MakeRequest(1, "timely", true));
-  ASSERT_TRUE(this->fleet.RunUntil([&] { return this->RequestCount(1) == 1; }));
+  std::size_t timely = 0;
   for (const bool idempotent : {true, false}) {
-    const std::uint64_t call = idempotent ? 2 : 3;
-    peer.Send(RawPeer::MakeRequest(call, "late", idempotent, seconds(1)));
-    peer.Send(RawPeer::MakeCancel(call));
+    // Leaves an open connection to the instance, on which the next request is written at once.
+    peer.Send(RawPeer::MakeRequest(++timely, "timely", true));
+    ASSERT_TRUE(
+        this->fleet.RunUntil([&] { return peer.Count(wire::PeerFrame::kReply) == timely; }));
+    const std::uint64_t late_call = 100 + timely;
+    peer.Send({RawPeer::MakeRequest(late_call, "late", idempotent, seconds(1)),
+               RawPeer::MakeCancel(late_call)});
     this->fleet.RunFor(milliseconds(300));
-    EXPECT_EQ(this->RequestCount(1), 1U) << "idempotent: " << idempotent;
+    EXPECT_EQ(this->RequestCount(1), timely) << "idempotent: " << idempotent;
   }
 }
 
--- a/sidecar/http_client_connection.cc
+++ b/sidecar/http_client_connection.cc
@@ -86,6 +86,10 @@
                    HashId(next_call.echo_value)) != this->sent_requests.end();
 }
 
+bool HttpClientConnection::IsDelivered() {
+  return !this->connecting && !this->writing && this->UnacknowledgedBytes() == 0;
+}
+
 std::size_t HttpClientConnection::UnacknowledgedBytes() {
   return masticpin::UnacknowledgedBytes(this->socket);
 }
--- a/sidecar/http_client_connection.h
+++ b/sidecar/http_client_connection.h
@@ -49,6 +49,9 @@
   /// Whether the connection is still being opened, so that no byte of the call was sent.
   bool IsConnecting() const { return this->connecting; }
 
+  /// Whether the server's host has the whole call.
+  bool IsDelivered();
+
   /// Number of bytes of the call that the server's host has not acknowledged.
   std::size_t UnacknowledgedBytes();
 
--- a/sidecar/local_execution.cc
+++ b/sidecar/local_execution.cc
@@ -68,8 +68,9 @@
     this->executor.OnEnded(*this);
     return;
   }
-  // A non-idempotent run continues: aborting it would leave its outcome unknown.
-  if (this->is_running && this->request.idempotent()) {
+  // A non-idempotent run continues: aborting it would leave its outcome unknown. Before the
+  // instance has the whole request, there is no run.
+  if (this->is_running && (this->request.idempotent() || !this->connection->IsDelivered())) {
     this->connection->Close();
     this->EndRun(Completion::kCancelled);
     this->ended = true;
