Discard what an instance did not receive when its caller leaves

Requests whose callers had left, or had been answered, reached their instance seconds later, when the cut between the node and the instance ended, and ran there with their whole deadline before them.

Cause: an ordinary close leaves unacknowledged bytes with the kernel, which repeats them until they arrive.

Change: a connection that is closed while the server's host has not acknowledged all bytes is reset, which discards them. If all have arrived it is closed as before: the kernel repeats the end of the stream until the server sees it, but sends a reset only once.

--- a/sidecar/http_client_connection.cc
+++ b/sidecar/http_client_connection.cc
@@ -326,8 +326,7 @@
   this->observer = nullptr;
   this->AccountBody(0);
   this->timers.Cancel(*this);
-  boost::system::error_code ignored;  // The connection is closed even if this fails.
-  this->socket.close(ignored);
+  CloseAndDiscard(this->socket);
   this->RemoveFromList();
 }
 
--- a/sidecar/http_client_connection.h
+++ b/sidecar/http_client_connection.h
@@ -42,8 +42,8 @@
   /// Sends a call on an open, idle connection.
   void Send(HttpCall call, HttpCallObserver& observer);
 
-  /// Closes the connection. A call in progress ends without a callback; the server sees the
-  /// disconnect and cancels it.
+  /// Closes the connection. A call in progress ends without a callback: what did not reach the
+  /// server yet is discarded, and otherwise the server sees the disconnect and cancels it.
   void Close();
 
   /// Whether the connection is still being opened, so that no byte of the call was sent.
--- a/sidecar/tcp_connection_state.cc
+++ b/sidecar/tcp_connection_state.cc
@@ -15,6 +15,16 @@
   return static_cast<std::size_t>(bytes);
 }
 
+void CloseAndDiscard(boost::asio::ip::tcp::socket& socket) {
+  boost::system::error_code ignored;  // The connection is closed even if this fails.
+  // A reset is sent only once. If all bytes have arrived, the end of the stream, which the kernel
+  // repeats until it arrives as well, is the better notice.
+  if (UnacknowledgedBytes(socket) > 0) {
+    socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+  }
+  socket.close(ignored);
+}
+
 bool IsClosedByRemote(boost::asio::ip::tcp::socket& socket) {
   if (!socket.is_open()) {
     return true;
--- a/sidecar/tcp_connection_state.h
+++ b/sidecar/tcp_connection_state.h
@@ -10,6 +10,10 @@
 /// bytes yet.
 std::size_t UnacknowledgedBytes(boost::asio::ip::tcp::socket& socket);
 
+/// Closes the socket. Bytes that the remote host has not acknowledged are discarded, by a reset of
+/// the connection; after an ordinary close, the kernel would go on delivering them.
+void CloseAndDiscard(boost::asio::ip::tcp::socket& socket);
+
 /// Returns whether the remote side has closed or reset the connection, even if bytes that it sent
 /// before are still unread.
 bool IsClosedByRemote(boost::asio::ip::tcp::socket& socket);
