Discard cancelled requests on a link that does not deliver them

Requests of callers that had left reached the node of another instance when a cut of the link ended, up to 2.5 s later, together with their cancel frames.

Cause: a link is watched only while requests are in progress on it. Once the last one was cancelled nobody noticed that the cancel frame did not arrive, and a link that was given up left its bytes to the kernel.

Change: a link whose last request was cancelled is given up if the peer's host has not acknowledged the cancel frame after 0.4 s, and a link that is given up discards what did not arrive.

Measured: CallerDisconnectTest.RequestOnAStuckLinkIsNotDeliveredAfterItsCallerLeft failed before (all 300,101 bytes were delivered 0.5 s after the close) and passes.

--- a/sidecar/frame_stream.cc
+++ b/sidecar/frame_stream.cc
@@ -47,6 +47,11 @@
   this->socket.close(ignored);
 }
 
+void FrameStream::Abort() {
+  this->observer = nullptr;
+  CloseAndDiscard(this->socket);
+}
+
 std::size_t FrameStream::UnacknowledgedBytes() {
   return masticpin::UnacknowledgedBytes(this->socket);
 }
--- a/sidecar/frame_stream.h
+++ b/sidecar/frame_stream.h
@@ -30,6 +30,10 @@
   /// Closes the connection without a callback.
   void Close();
 
+  /// Closes the connection without a callback. What the peer's host did not receive yet is
+  /// discarded.
+  void Abort();
+
   /// Number of bytes that were handed to the kernel and that the peer's host has not acknowledged.
   std::size_t UnacknowledgedBytes();
 
--- a/sidecar/peer_link.cc
+++ b/sidecar/peer_link.cc
@@ -22,6 +22,11 @@
 constexpr Duration kSilenceBeforeKeepAlive = std::chrono::milliseconds(500);
 constexpr Duration kKeepAliveTimeout = std::chrono::milliseconds(700);
 
+/// Time in which the peer's host has to acknowledge the cancel frame of the last request in
+/// progress. After it the connection is given up, so that the requests before the frame are not
+/// delivered when a cut of the link ends: work for a caller that left has to end within 0.5 s.
+constexpr Duration kCancelTimeout = std::chrono::milliseconds(400);
+
 /// A connection without requests is closed after this time.
 constexpr Duration kIdleTimeout = std::chrono::seconds(30);
 
@@ -48,7 +53,7 @@
 
 PeerLink::~PeerLink() {
   if (this->stream != nullptr) {
-    this->stream->Close();
+    this->stream->Abort();
   }
 }
 
@@ -90,6 +95,10 @@
     wire::PeerFrame frame;
     frame.mutable_cancel()->set_call(call);
     this->stream->Send(frame);
+    if (this->calls.empty()) {
+      this->last_cancel = this->clock.Now();
+      this->timers.Schedule(*this, this->last_cancel + kCancelTimeout);
+    }
     return;
   }
   std::erase_if(this->waiting,
@@ -191,6 +200,10 @@
     return;
   }
   if (this->calls.empty()) {
+    if (now - this->last_cancel >= kCancelTimeout && this->stream->UnacknowledgedBytes() > 0) {
+      this->Fail(ErrorKind::kPeerLost, "cancelled requests are not acknowledged");
+      return;
+    }
     if (now - this->last_sent >= kIdleTimeout) {
       this->Fail(ErrorKind::kPeerLost, "idle");
       return;
@@ -232,7 +245,8 @@
   this->connecting_socket.reset();
   this->waiting.clear();
   if (this->stream != nullptr) {
-    this->stream->Close();
+    // Nobody waits for the requests that have not arrived.
+    this->stream->Abort();
     this->stream.reset();
   }
   this->observer.OnPeerClosed(this->instance);
--- a/sidecar/peer_link.h
+++ b/sidecar/peer_link.h
@@ -76,6 +76,8 @@
   std::map<std::uint64_t, ExecutionObserver*> calls;
   TimePoint last_contact{};
   TimePoint last_sent{};
+  /// When the last request in progress was cancelled.
+  TimePoint last_cancel{};
   bool keep_alive_pending = false;
 };
 
