Confirm delayed requests of other nodes before they are started

Requests of callers that had left ran at another node when a cut of the link ended or the node had stood still: request and cancel frame arrived together, and the request was sent to the instance before the next frame was looked at. It also had its whole remaining time, counted from its arrival.

Cause: nothing told a new request from one that was under way for seconds.

Change: a request that was under way for over 0.2 s, or whose transit time is unknown, waits until its node confirms that it is still wanted. The answer follows all cancel frames that were sent before, and carries the time that is left. Without an answer it starts after 0.1 s, with its remaining time reduced by the delay, so that callers on a link that is only slow do not wait twice. The first message of a connection has no known transit time: the baseline was to be the time of the accept, which is late itself in a node that stood still. Nodes that do not announce that they answer (PeerHello::answers_receiver) are not asked.

The first request on a new link costs one round trip more.

--- a/masticpin/membership/transit_time_estimator.cc
+++ b/masticpin/membership/transit_time_estimator.cc
@@ -1,6 +1,6 @@
 #include "masticpin/membership/transit_time_estimator.h"
 
-#include <algorithm>
+#include <utility>
 
 namespace masticpin {
 namespace {
@@ -20,14 +20,12 @@
 std::optional<Duration> TransitTimeEstimator::OnMessage(Duration sender_clock,
                                                         TimePoint received_at) {
   const Duration difference = received_at.time_since_epoch() - sender_clock;
+  const TimePoint previous = std::exchange(this->updated_at, received_at);
   if (!this->least_difference) {
-    // The connection was opened at the time of the first message at the latest.
-    this->least_difference =
-        std::min(difference, this->connected_at.time_since_epoch() - sender_clock);
-  } else {
-    *this->least_difference += (received_at - this->updated_at) / kClockDriftDivisor;
+    this->least_difference = difference;
+    return std::nullopt;
   }
-  this->updated_at = received_at;
+  *this->least_difference += (received_at - previous) / kClockDriftDivisor;
   const Duration excess = difference - *this->least_difference;
   if (excess < Duration::zero()) {
     this->least_difference = difference;
--- a/masticpin/membership/transit_time_estimator.h
+++ b/masticpin/membership/transit_time_estimator.h
@@ -12,13 +12,9 @@
 /// between both readings is taken as one that arrived without delay.
 class TransitTimeEstimator {
  public:
-  /// `connected_at` is the time at which the receiver accepted the connection. It bounds the
-  /// difference of the clocks if the first messages are delayed already.
-  explicit TransitTimeEstimator(TimePoint connected_at) : connected_at(connected_at) {}
-
   /// Records a message and returns for how much longer than the fastest one it was under way.
-  /// Returns nullopt if the difference of the clocks has jumped, as after one side was suspended:
-  /// the time is then unknown.
+  /// Returns nullopt if that is unknown: for the first message, and if the difference of the clocks
+  /// has jumped, as after one side was suspended.
   std::optional<Duration> OnMessage(Duration sender_clock, TimePoint received_at);
 
   /// Records a message that answers one which was sent to the other side at `asked_at`. A fast
@@ -26,7 +22,6 @@
   void OnReply(TimePoint asked_at, Duration sender_clock, TimePoint received_at);
 
  private:
-  const TimePoint connected_at;
   /// Difference of both clocks, plus the transit time of the fastest message; nullopt before the
   /// first message.
   std::optional<Duration> least_difference;
--- a/sidecar/caller_disconnect_test.cc
+++ b/sidecar/caller_disconnect_test.cc
@@ -3,6 +3,7 @@
 #include <memory>
 
 #include "sidecar/local_executor.h"
+#include "sidecar/tcp_address.h"
 #include "sidecar/testing/raw_peer.h"
 #include "sidecar/testing/sidecar_node_fixture.h"
 #include "sidecar/testing/stalled_host.h"
@@ -104,6 +105,66 @@
   }
 }
 
+// Guards against a delayed request that is run with more time than its caller waits.
+TEST_F(CallerDisconnectTest, DelayedRequestRunsWithTheTimeThatItsNodeConfirms) {
+  this->AddMachines(RespondToAll);
+  this->fleet.Start();
+  RawPeer peer(this->fleet.Loop(), this->fleet.At(1).settings.peer_address, "page", "front");
+  peer.Send(RawPeer::MakeRequest(1, "late", false));
+  ASSERT_TRUE(
+      this->fleet.RunUntil([&] { return peer.Count(wire::PeerFrame::kConfirmationRequest) == 1; }));
+  peer.Send(RawPeer::MakeConfirmation(1, milliseconds(700)));
+  ASSERT_TRUE(this->fleet.RunUntil([&] { return this->RequestCount(1) == 1; }));
+  EXPECT_LE(std::stoi(FieldOf(this->fleet.At(1).upstream->Requests()[0], "Test-Remaining-Ms")),
+            700);
+}
+
+// Guards against a delayed request that waits for the answer of a node on a slow link, and against
+// one that is run for as long after its deadline as it was delayed.
+TEST_F(CallerDisconnectTest, DelayedRequestRunsWithoutAnAnswerOfItsNode) {
+  this->AddMachines(RespondToAll);
+  this->fleet.Start();
+  RawPeer peer(this->fleet.Loop(), this->fleet.At(1).settings.peer_address, "page", "front");
+  peer.Send(RawPeer::MakeRequest(1, "timely", true));
+  ASSERT_TRUE(this->fleet.RunUntil([&] { return this->RequestCount(1) == 1; }));
+  peer.Send(RawPeer::MakeRequest(2, "late", true, seconds(2)));
+  ASSERT_TRUE(this->fleet.RunUntil([&] { return this->RequestCount(1) == 2; }, seconds(1)));
+  EXPECT_LE(std::stoi(FieldOf(this->fleet.At(1).upstream->Requests()[1], "Test-Remaining-Ms")),
+            1010);
+}
+
+// Guards against a node that does not tell whether it still waits, so that each delayed request
+// loses time.
+TEST_F(CallerDisconnectTest, NodeConfirmsOnlyRequestsThatItWaitsFor) {
+  this->AddMachines(RespondToAll);
+  this->fleet.Start();
+  this->fleet.Kill(1);
+  const SocketAddress& address = this->fleet.At(1).settings.peer_address;
+  boost::asio::ip::tcp::acceptor acceptor(this->fleet.Loop());
+  ASSERT_EQ(OpenAcceptor(acceptor, address, 1), "");
+  RawCaller caller(this->fleet.Loop(), this->fleet.RequestAddress(0));
+  caller.Send(TestFleet::MakeRequest("1", "page-read", "GET", "Test-Remaining-Ms: 2000\r\n"));
+  this->fleet.RunFor(milliseconds(50));
+  RawPeer peer(acceptor.accept());
+  ASSERT_TRUE(this->fleet.RunUntil([&] { return peer.Count(wire::PeerFrame::kRequest) == 1; }));
+  const std::uint64_t call = peer.Received().back().request().call();
+  wire::PeerFrame question;
+  question.mutable_confirmation_request()->set_call(call);
+  peer.Send(question);
+  ASSERT_TRUE(
+      this->fleet.RunUntil([&] { return peer.Count(wire::PeerFrame::kConfirmation) == 1; }));
+  const wire::Confirmation& confirmation = peer.Received().back().confirmation();
+  EXPECT_EQ(confirmation.call(), call);
+  EXPECT_GT(confirmation.remaining_us(), 0U);
+  EXPECT_LT(confirmation.remaining_us(), 2'000'000U);
+
+  caller.Close();
+  ASSERT_TRUE(this->fleet.RunUntil([&] { return peer.Count(wire::PeerFrame::kCancel) == 1; }));
+  peer.Send(question);
+  this->fleet.RunFor(milliseconds(100));
+  EXPECT_EQ(peer.Count(wire::PeerFrame::kConfirmation), 1U);
+}
+
 // Guards against a request that the kernel still delivers to another node after its caller has
 // left, when the cut of the link ends.
 TEST_F(CallerDisconnectTest, RequestOnAStuckLinkIsNotDeliveredAfterItsCallerLeft) {
--- a/sidecar/peer_link.cc
+++ b/sidecar/peer_link.cc
@@ -59,6 +59,7 @@
 
 void PeerLink::Execute(wire::ExecutionRequest request, ExecutionObserver& call_observer) {
   const std::uint64_t call = request.call();
+  const Duration remaining = std::chrono::microseconds(request.remaining_us());
   wire::PeerFrame frame;
   *frame.mutable_request() = std::move(request);
   frame.mutable_request()->clear_caller_service();
@@ -70,7 +71,7 @@
     this->last_contact = now;
     this->keep_alive_pending = false;
   }
-  this->calls[call] = &call_observer;
+  this->calls[call] = Call{&call_observer, now + remaining};
   this->last_sent = now;
   switch (this->state) {
     case State::kClosed:
@@ -140,6 +141,7 @@
   hello.mutable_hello()->set_protocol(kPeerProtocolVersion);
   hello.mutable_hello()->set_service(this->service);
   hello.mutable_hello()->set_caller_service(this->local_service);
+  hello.mutable_hello()->set_answers_receiver(true);
   this->stream->Send(hello);
   for (const wire::PeerFrame& frame : this->waiting) {
     this->stream->Send(frame);
@@ -159,7 +161,7 @@
       this->observer.OnPeerConfigurationVersion(reply.configuration_version());
       const auto found = this->calls.find(reply.call());
       if (found != this->calls.end()) {
-        ExecutionObserver* const finished_observer = found->second;
+        ExecutionObserver* const finished_observer = found->second.observer;
         this->calls.erase(found);
         finished_observer->OnExecutionReply(reply);
       }
@@ -175,6 +177,15 @@
       this->stream->Send(catalog_frame);
       break;
     }
+    case wire::PeerFrame::kConfirmationRequest:
+      this->Confirm(frame.confirmation_request().call());
+      break;
+    case wire::PeerFrame::kKeepAlive: {
+      wire::PeerFrame reply;
+      reply.mutable_keep_alive_reply();
+      this->stream->Send(reply);
+      break;
+    }
     case wire::PeerFrame::kLeaving:
       this->observer.OnPeerLeaving(this->instance);
       break;
@@ -185,6 +196,20 @@
   }
 }
 
+void PeerLink::Confirm(std::uint64_t call) {
+  const auto found = this->calls.find(call);
+  if (found == this->calls.end()) {
+    return;  // The cancel frame is on its way.
+  }
+  const TimePoint now = this->clock.Now();
+  wire::PeerFrame frame;
+  wire::Confirmation& confirmation = *frame.mutable_confirmation();
+  confirmation.set_call(call);
+  confirmation.set_remaining_us(ToRemainingMicroseconds(found->second.deadline - now));
+  confirmation.set_sender_clock_us(ToClockMicroseconds(now));
+  this->stream->Send(frame);
+}
+
 void PeerLink::OnStreamClosed(std::string_view reason) {
   const Ref<PeerLink> keep(this);
   this->Fail(ErrorKind::kPeerLost, reason);
@@ -251,10 +276,10 @@
   }
   this->observer.OnPeerClosed(this->instance);
   // An observer may start a new request, which opens the connection again.
-  std::map<std::uint64_t, ExecutionObserver*> lost;
+  std::map<std::uint64_t, Call> lost;
   lost.swap(this->calls);
   while (!lost.empty()) {
-    ExecutionObserver* const finished_observer = lost.begin()->second;
+    ExecutionObserver* const finished_observer = lost.begin()->second.observer;
     lost.erase(lost.begin());
     finished_observer->OnExecutionLost(kind, text);
   }
--- a/sidecar/peer_link.h
+++ b/sidecar/peer_link.h
@@ -48,11 +48,18 @@
   bool HasRequests() const { return !this->calls.empty(); }
 
  private:
+  struct Call {
+    ExecutionObserver* observer;
+    TimePoint deadline;
+  };
+
   enum class State : std::uint8_t { kClosed, kConnecting, kOpen };
 
   void OnFrame(wire::PeerFrame& frame) override;
   void OnStreamClosed(std::string_view reason) override;
   void OnTimer(TimePoint now) override;
+  /// Answers the peer's question whether a request is still wanted.
+  void Confirm(std::uint64_t call);
   void Connect();
   void OnConnected();
   /// Closes the connection and fails all requests on it with `kind`.
@@ -73,7 +80,7 @@
   Ref<FrameStream> stream;
   /// Requests that wait for the connection to be established.
   std::vector<wire::PeerFrame> waiting;
-  std::map<std::uint64_t, ExecutionObserver*> calls;
+  std::map<std::uint64_t, Call> calls;
   TimePoint last_contact{};
   TimePoint last_sent{};
   /// When the last request in progress was cancelled.
--- a/sidecar/peer_listener.cc
+++ b/sidecar/peer_listener.cc
@@ -21,6 +21,7 @@
                            TimerService& timers)
     : acceptor(loop, *this, clock, timers),
       clock(clock),
+      timers(timers),
       executor(executor),
       local_service(std::move(local_service)),
       catalog_store(catalog_store) {}
@@ -62,7 +63,7 @@
   EnableDeadPeerDetection(socket);
   const Ref<PeerSession> session(new PeerSession(std::move(socket), this->executor,
                                                  this->local_service, this->catalog_store,
-                                                 this->next_call_id, this->clock));
+                                                 this->next_call_id, this->clock, this->timers));
   this->sessions.push_back(*session);
   session->Start();
   if (this->leaving) {
--- a/sidecar/peer_listener.h
+++ b/sidecar/peer_listener.h
@@ -42,6 +42,7 @@
 
   TcpAcceptor acceptor;
   const Clock& clock;
+  TimerService& timers;
   LocalExecutor& executor;
   const std::string local_service;
   CatalogStore& catalog_store;
--- a/sidecar/peer_protocol.cc
+++ b/sidecar/peer_protocol.cc
@@ -15,6 +15,11 @@
   return std::chrono::microseconds(std::min(microseconds, kMaxMicroseconds));
 }
 
+std::uint64_t ToRemainingMicroseconds(Duration remaining) {
+  return static_cast<std::uint64_t>(std::max<std::int64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(remaining).count(), 0));
+}
+
 LoadReport DecodeLoadReport(const wire::LoadReport& load) {
   return LoadReport{load.limit(), load.in_flight(), load.queued(), load.threshold(),
                     load.repeats_left()};
--- a/sidecar/peer_protocol.h
+++ b/sidecar/peer_protocol.h
@@ -16,6 +16,10 @@
 std::uint64_t ToClockMicroseconds(TimePoint time);
 Duration FromClockMicroseconds(std::uint64_t microseconds);
 
+/// Converts the time until a deadline to the form that messages carry; 0 if the deadline has
+/// passed.
+std::uint64_t ToRemainingMicroseconds(Duration remaining);
+
 LoadReport DecodeLoadReport(const wire::LoadReport& load);
 void EncodeLoadReport(const LoadReport& load, wire::LoadReport& message);
 
--- a/sidecar/peer_session.cc
+++ b/sidecar/peer_session.cc
@@ -13,6 +13,12 @@
 /// to end within 0.5 s; the rest of that time is for the queue and for the cancel frame.
 constexpr Duration kMaxTransitTime = std::chrono::milliseconds(200);
 
+/// A delayed request waits for the peer's confirmation for at most this time. Once a cut of the
+/// link has ended, the answer takes a few milliseconds. On a link that is just slow it takes as
+/// long as the request itself, and waiting for it would double the delay of callers that still
+/// wait.
+constexpr Duration kMaxConfirmationWait = std::chrono::milliseconds(100);
+
 }  // namespace
 
 PeerSession::PeerSession(boost::asio::ip::tcp::socket socket,
@@ -20,13 +26,14 @@
                          const std::string& local_service,
                          CatalogStore& catalog_store,
                          std::uint64_t& next_call_id,
-                         const Clock& clock)
+                         const Clock& clock,
+                         TimerService& timers)
     : executor(executor),
       local_service(local_service),
       catalog_store(catalog_store),
       next_call_id(next_call_id),
       clock(clock),
-      transit_time(clock.Now()),
+      timers(timers),
       stream(new FrameStream(std::move(socket), *this)) {}
 
 PeerSession::~PeerSession() {
@@ -74,6 +81,7 @@
       }
       this->caller_service = frame.hello().caller_service();
       this->service_matches = frame.hello().service() == this->local_service;
+      this->answers_receiver = frame.hello().answers_receiver();
       break;
     case wire::PeerFrame::kRequest:
       this->OnRequest(*frame.mutable_request());
@@ -87,6 +95,13 @@
       }
       break;
     }
+    case wire::PeerFrame::kConfirmation: {
+      const auto found = this->executions.find(frame.confirmation().call());
+      if (found != this->executions.end()) {
+        found->second->OnConfirmation(frame.confirmation());
+      }
+      break;
+    }
     case wire::PeerFrame::kCatalog:
       this->catalog_store.ApplyCatalog(frame.catalog());
       break;
@@ -112,20 +127,24 @@
   this->Close();
 }
 
-bool PeerSession::WasDelayed(const wire::ExecutionRequest& request) {
+bool PeerSession::MayBeDelayed(wire::ExecutionRequest& request) {
   if (request.sender_clock_us() == 0) {
     return false;  // The peer is of an older version.
   }
   const std::optional<Duration> transit = this->transit_time.OnMessage(
       FromClockMicroseconds(request.sender_clock_us()), this->clock.Now());
-  if (transit && *transit <= kMaxTransitTime) {
+  if (!transit) {
+    return true;
+  }
+  if (*transit <= kMaxTransitTime) {
     return false;
   }
-  spdlog::info(
-      "event=request_delayed id={} caller_service={} transit_ms={}", request.request_id(),
-      this->caller_service,
-      transit ? std::chrono::duration_cast<std::chrono::milliseconds>(*transit).count() : -1);
+  spdlog::info("event=request_delayed id={} caller_service={} transit_ms={}", request.request_id(),
+               this->caller_service,
+               std::chrono::duration_cast<std::chrono::milliseconds>(*transit).count());
   this->executor.CountDelayed();
+  request.set_remaining_us(
+      ToRemainingMicroseconds(std::chrono::microseconds(request.remaining_us()) - *transit));
   return true;
 }
 
@@ -133,7 +152,7 @@
   const std::uint64_t peer_call_id = request.call();
   const std::uint64_t call = this->next_call_id++;
   auto execution = std::make_unique<Execution>(*this, peer_call_id, call);
-  ExecutionObserver& observer = *execution;
+  Execution& added = *execution;
   if (!this->executions.emplace(peer_call_id, std::move(execution)).second) {
     spdlog::warn("event=duplicate_call call={}", peer_call_id);
     return;
@@ -142,13 +161,47 @@
     // The peer expects the service of the machine that had this address before.
     wire::ExecutionReply refusal;
     refusal.set_error(static_cast<std::uint32_t>(ErrorKind::kWrongIncarnation));
-    observer.OnExecutionReply(refusal);
+    added.OnExecutionReply(refusal);
     return;
   }
-  this->WasDelayed(request);
   request.set_call(call);
   request.set_caller_service(this->caller_service);
-  this->executor.Execute(std::move(request), observer);
+  if (this->MayBeDelayed(request) && this->answers_receiver) {
+    added.StartWhenConfirmed(std::move(request));
+  } else {
+    added.Start(std::move(request));
+  }
+}
+
+void PeerSession::Execution::Start(wire::ExecutionRequest request) {
+  this->session.executor.Execute(std::move(request), *this);
+}
+
+void PeerSession::Execution::StartWhenConfirmed(wire::ExecutionRequest request) {
+  this->unconfirmed = std::make_unique<wire::ExecutionRequest>(std::move(request));
+  this->asked_at = this->session.clock.Now();
+  this->session.timers.Schedule(*this, this->asked_at + kMaxConfirmationWait);
+  wire::PeerFrame frame;
+  frame.mutable_confirmation_request()->set_call(this->peer_call_id);
+  this->session.stream->Send(frame);
+}
+
+void PeerSession::Execution::OnConfirmation(const wire::Confirmation& confirmation) {
+  if (this->unconfirmed == nullptr) {
+    return;  // It was started without the answer.
+  }
+  this->session.timers.Cancel(*this);
+  this->session.transit_time.OnReply(this->asked_at,
+                                     FromClockMicroseconds(confirmation.sender_clock_us()),
+                                     this->session.clock.Now());
+  this->unconfirmed->set_remaining_us(confirmation.remaining_us());
+  const std::unique_ptr<wire::ExecutionRequest> confirmed = std::move(this->unconfirmed);
+  this->Start(std::move(*confirmed));
+}
+
+void PeerSession::Execution::OnTimer(TimePoint) {
+  const std::unique_ptr<wire::ExecutionRequest> request = std::move(this->unconfirmed);
+  this->Start(std::move(*request));
 }
 
 void PeerSession::Execution::OnExecutionReply(const wire::ExecutionReply& reply) {
--- a/sidecar/peer_session.h
+++ b/sidecar/peer_session.h
@@ -8,6 +8,8 @@
 
 #include "masticpin/base/clock.h"
 #include "masticpin/base/ref_counted.h"
+#include "masticpin/base/timer_service.h"
+#include "masticpin/base/timer_subscriber.h"
 #include "masticpin/membership/transit_time_estimator.h"
 #include "sidecar/catalog_store.h"
 #include "sidecar/execution_observer.h"
@@ -30,7 +32,8 @@
               const std::string& local_service,
               CatalogStore& catalog_store,
               std::uint64_t& next_call_id,
-              const Clock& clock);
+              const Clock& clock,
+              TimerService& timers);
   ~PeerSession() override;
 
   void Start();
@@ -49,38 +52,54 @@
 
  private:
   /// One request of the peer.
-  class Execution : public ExecutionObserver {
+  class Execution : public ExecutionObserver, private TimerSubscriber {
    public:
     Execution(PeerSession& session, std::uint64_t peer_call_id, std::uint64_t call)
         : session(session), peer_call_id(peer_call_id), call(call) {}
 
+    /// Passes the request to the executor.
+    void Start(wire::ExecutionRequest request);
+
+    /// Asks the peer whether it still waits, and starts the request with the answer or after a
+    /// short time without one. Until then, it can be cancelled before it has started.
+    void StartWhenConfirmed(wire::ExecutionRequest request);
+    void OnConfirmation(const wire::Confirmation& confirmation);
+
     void OnExecutionReply(const wire::ExecutionReply& reply) override;
     void OnExecutionLost(ErrorKind kind, std::string_view reason) override;
 
     std::uint64_t Call() const { return this->call; }
 
    private:
+    void OnTimer(TimePoint now) override;
+
     PeerSession& session;
     /// Id of the call at the peer, and at the local executor.
     const std::uint64_t peer_call_id;
     const std::uint64_t call;
+    /// The request, while it waits for the confirmation.
+    std::unique_ptr<wire::ExecutionRequest> unconfirmed;
+    TimePoint asked_at{};
   };
 
   void OnFrame(wire::PeerFrame& frame) override;
   void OnStreamClosed(std::string_view reason) override;
   void OnRequest(wire::ExecutionRequest& request);
-  /// Returns whether the request was under way for so long that its caller may have left meanwhile.
-  bool WasDelayed(const wire::ExecutionRequest& request);
+  /// Returns whether the request may have been under way for so long that its caller has left
+  /// meanwhile. If so, reduces its remaining time as far as that is known.
+  bool MayBeDelayed(wire::ExecutionRequest& request);
 
   LocalExecutor& executor;
   const std::string& local_service;
   CatalogStore& catalog_store;
   std::uint64_t& next_call_id;
   const Clock& clock;
+  TimerService& timers;
   TransitTimeEstimator transit_time;
   /// From the peer's hello frame.
   std::string caller_service;
   bool service_matches = false;
+  bool answers_receiver = false;
   Ref<FrameStream> stream;
   /// Keyed by the peer's call id.
   std::map<std::uint64_t, std::unique_ptr<Execution>> executions;
--- a/sidecar/routed_request.cc
+++ b/sidecar/routed_request.cc
@@ -9,6 +9,7 @@
 
 #include "masticpin/error/error_info.h"
 #include "masticpin/execution/running_request_table.h"
+#include "sidecar/peer_protocol.h"
 #include "sidecar/request_router.h"
 
 namespace masticpin {
@@ -201,8 +202,7 @@
       {dialect.request_id, dialect.remaining_ms, dialect.expected_instance, dialect.caller_service},
       *message.mutable_header_lines());
   message.set_body(request.body);
-  message.set_remaining_us(static_cast<std::uint64_t>(std::max<std::int64_t>(
-      std::chrono::duration_cast<std::chrono::microseconds>(this->TimeLeft()).count(), 0)));
+  message.set_remaining_us(ToRemainingMicroseconds(this->TimeLeft()));
   message.set_idempotent(this->route->idempotent);
   message.set_importance(this->priority.importance);
   message.set_rank(this->priority.rank);
--- a/sidecar/testing/raw_peer.cc
+++ b/sidecar/testing/raw_peer.cc
@@ -11,15 +11,28 @@
 RawPeer::RawPeer(boost::asio::io_context& loop,
                  const SocketAddress& address,
                  const std::string& service,
-                 const std::string& caller_service) {
-  boost::asio::ip::tcp::socket socket(loop);
+                 const std::string& caller_service,
+                 Reading reading) {
+  constexpr int kSmallBufferBytes = 4096;
+  boost::asio::ip::tcp::socket socket(loop, boost::asio::ip::tcp::v4());
+  if (reading == Reading::kNever) {
+    socket.set_option(boost::asio::socket_base::receive_buffer_size(kSmallBufferBytes));
+  }
   socket.connect(ToEndpoint(address));
   this->stream = Ref<FrameStream>(new FrameStream(std::move(socket), *this));
   wire::PeerFrame hello;
   hello.mutable_hello()->set_protocol(kPeerProtocolVersion);
   hello.mutable_hello()->set_service(service);
   hello.mutable_hello()->set_caller_service(caller_service);
+  hello.mutable_hello()->set_answers_receiver(true);
   this->stream->Send(hello);
+  if (reading == Reading::kAlways) {
+    this->stream->Start();
+  }
+}
+
+RawPeer::RawPeer(boost::asio::ip::tcp::socket socket)
+    : stream(new FrameStream(std::move(socket), *this)) {
   this->stream->Start();
 }
 
@@ -52,6 +65,15 @@
   return frame;
 }
 
+wire::PeerFrame RawPeer::MakeConfirmation(std::uint64_t call, Duration remaining) {
+  wire::PeerFrame frame;
+  frame.mutable_confirmation()->set_call(call);
+  frame.mutable_confirmation()->set_remaining_us(ToRemainingMicroseconds(remaining));
+  frame.mutable_confirmation()->set_sender_clock_us(
+      ToClockMicroseconds(std::chrono::steady_clock::now()));
+  return frame;
+}
+
 std::size_t RawPeer::Count(wire::PeerFrame::BodyCase kind) const {
   return static_cast<std::size_t>(
       std::count_if(this->received.begin(), this->received.end(),
--- a/sidecar/testing/raw_peer.h
+++ b/sidecar/testing/raw_peer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <string>
 #include <vector>
 
@@ -15,11 +16,20 @@
 /// frame.
 class RawPeer : private FrameObserver {
  public:
+  enum class Reading : std::uint8_t {
+    kAlways,
+    /// Reads nothing and has a small receive buffer, so that its host stops acknowledging.
+    kNever,
+  };
+
   /// Connects and says hello, as a node of `caller_service` that sends requests for `service`.
   RawPeer(boost::asio::io_context& loop,
           const SocketAddress& address,
           const std::string& service,
-          const std::string& caller_service);
+          const std::string& caller_service,
+          Reading reading = Reading::kAlways);
+  /// Uses a connection that a node has opened.
+  explicit RawPeer(boost::asio::ip::tcp::socket socket);
   ~RawPeer() override { this->stream->Close(); }
 
   void Send(const wire::PeerFrame& frame) { this->stream->Send(frame); }
@@ -31,6 +41,7 @@
                                      bool idempotent,
                                      Duration age = Duration::zero());
   static wire::PeerFrame MakeCancel(std::uint64_t call);
+  static wire::PeerFrame MakeConfirmation(std::uint64_t call, Duration remaining);
 
   /// All frames received so far.
   const std::vector<wire::PeerFrame>& Received() const { return this->received; }
