End the work for callers of a node that is cut off

When a node was cut off from the others, instances worked on for its callers for up to 3 s, whether these had left or not, though the node itself gives up its links after 1.2 s.

Cause: only the sending side of a link watched it; PeerSession relied on the kernel's keep-alive.

Change: while requests of a peer are in progress and it is silent for 0.5 s, the session sends a keep-alive. If the peer's host has not acknowledged it after another 0.7 s, the session closes. A host that acknowledges has a paused process that will read its replies, so that its work goes on.

--- a/sidecar/caller_disconnect_test.cc
+++ b/sidecar/caller_disconnect_test.cc
@@ -34,6 +34,25 @@
     }
   }
 
+  /// Lets a node that reads nothing send two requests: one with a response of `bytes`, and one that
+  /// the instance works on.
+  void StartWorkForASilentNode(std::size_t bytes) {
+    this->AddMachines([bytes](Connection& connection, const std::string& request) {
+      if (FieldOf(request, "Test-Id") == "large") {
+        connection.Send(TestFleet::MakeResponse(request, std::string(bytes, 'x')));
+      }
+    });
+    this->fleet.Start();
+    this->peer =
+        std::make_unique<RawPeer>(this->fleet.Loop(), this->fleet.At(1).settings.peer_address,
+                                  "page", "front", RawPeer::Reading::kNever);
+    this->peer->Send(
+        {RawPeer::MakeRequest(1, "work", true), RawPeer::MakeRequest(2, "large", true)});
+    ASSERT_TRUE(this->fleet.RunUntil([&] { return this->RequestCount(1) == 2; }));
+  }
+
+  std::unique_ptr<RawPeer> peer;
+
   /// Sends `count` requests of 4 KB on one connection to an instance that does not respond, closes
   /// the connection, and expects the work for it to end.
   void CloseAfterPipelinedRequests(int count) {
@@ -165,6 +184,22 @@
   EXPECT_EQ(peer.Count(wire::PeerFrame::kConfirmation), 1U);
 }
 
+// Guards against work for the callers of a node that is cut off: their cancel frames cannot arrive,
+// and the node has given up the link itself after 1.2 s.
+TEST_F(CallerDisconnectTest, WorkForANodeThatIsCutOffEnds) {
+  this->StartWorkForASilentNode(kLargeBodyBytes);
+  EXPECT_TRUE(this->fleet.RunUntil(
+      [&] { return this->fleet.At(1).upstream->Connections().back()->IsClosedByPeer(); },
+      seconds(2)));
+}
+
+// Guards against ending the work for callers whose node is only paused and will read the replies.
+TEST_F(CallerDisconnectTest, WorkForANodeThatIsPausedGoesOn) {
+  this->StartWorkForASilentNode(0);
+  this->fleet.RunFor(seconds(2));
+  EXPECT_FALSE(this->fleet.At(1).upstream->Connections().back()->IsClosedByPeer());
+}
+
 // Guards against a request that the kernel still delivers to another node after its caller has
 // left, when the cut of the link ends.
 TEST_F(CallerDisconnectTest, RequestOnAStuckLinkIsNotDeliveredAfterItsCallerLeft) {
--- a/sidecar/peer_listener.cc
+++ b/sidecar/peer_listener.cc
@@ -11,6 +11,9 @@
 /// Number of peers that are queried for their catalog at a time.
 constexpr int kCatalogRequestFanout = 2;
 
+/// Interval at which the connections are checked for peers that are cut off.
+constexpr Duration kPeerCheckInterval = std::chrono::milliseconds(250);
+
 }  // namespace
 
 PeerListener::PeerListener(boost::asio::io_context& loop,
@@ -61,6 +64,9 @@
 
 void PeerListener::OnConnection(boost::asio::ip::tcp::socket socket) {
   EnableDeadPeerDetection(socket);
+  if (this->sessions.empty()) {
+    this->timers.Schedule(*this, this->clock.Now() + kPeerCheckInterval);
+  }
   const Ref<PeerSession> session(new PeerSession(std::move(socket), this->executor,
                                                  this->local_service, this->catalog_store,
                                                  this->next_call_id, this->clock, this->timers));
@@ -71,4 +77,14 @@
   }
 }
 
+void PeerListener::OnTimer(TimePoint now) {
+  for (auto it = this->sessions.begin(); it != this->sessions.end();) {
+    PeerSession& session = *it++;  // A session that closes leaves the list.
+    session.CheckPeer(now);
+  }
+  if (!this->sessions.empty()) {
+    this->timers.Schedule(*this, now + kPeerCheckInterval);
+  }
+}
+
 }  // namespace masticpin
--- a/sidecar/peer_listener.h
+++ b/sidecar/peer_listener.h
@@ -15,7 +15,7 @@
 namespace masticpin {
 
 /// Accepts connections from peers.
-class PeerListener : private TcpAcceptorObserver {
+class PeerListener : private TcpAcceptorObserver, private TimerSubscriber {
  public:
   /// All arguments must outlive the listener.
   PeerListener(boost::asio::io_context& loop,
@@ -39,6 +39,7 @@
 
  private:
   void OnConnection(boost::asio::ip::tcp::socket socket) override;
+  void OnTimer(TimePoint now) override;
 
   TcpAcceptor acceptor;
   const Clock& clock;
--- a/sidecar/peer_session.cc
+++ b/sidecar/peer_session.cc
@@ -19,6 +19,12 @@
 /// wait.
 constexpr Duration kMaxConfirmationWait = std::chrono::milliseconds(100);
 
+/// Silence of a peer with requests in progress after which a keep-alive is sent, and the time in
+/// which its host has to acknowledge it. Both are those after which the peer gives up its side of
+/// the link, so that nobody waits for the replies afterwards.
+constexpr Duration kSilenceBeforeKeepAlive = std::chrono::milliseconds(500);
+constexpr Duration kKeepAliveTimeout = std::chrono::milliseconds(700);
+
 }  // namespace
 
 PeerSession::PeerSession(boost::asio::ip::tcp::socket socket,
@@ -34,7 +40,8 @@
       next_call_id(next_call_id),
       clock(clock),
       timers(timers),
-      stream(new FrameStream(std::move(socket), *this)) {}
+      stream(new FrameStream(std::move(socket), *this)),
+      last_contact(clock.Now()) {}
 
 PeerSession::~PeerSession() {
   this->stream->Close();
@@ -59,6 +66,28 @@
   this->stream->Send(frame);
 }
 
+void PeerSession::CheckPeer(TimePoint now) {
+  const Duration silence = now - this->last_contact;
+  if (this->executions.empty() || !this->answers_receiver || silence < kSilenceBeforeKeepAlive) {
+    return;
+  }
+  if (this->keep_alive_sent < this->last_contact) {
+    this->keep_alive_sent = now;
+    wire::PeerFrame frame;
+    frame.mutable_keep_alive();
+    this->stream->Send(frame);
+    return;
+  }
+  // A host that acknowledges has a process that is paused and will read its replies.
+  if (now - this->keep_alive_sent < kKeepAliveTimeout || this->stream->UnacknowledgedBytes() == 0) {
+    return;
+  }
+  spdlog::info("event=peer_session_cut_off caller_service={} requests={} silent_ms={}",
+               this->caller_service, this->executions.size(),
+               std::chrono::duration_cast<std::chrono::milliseconds>(silence).count());
+  this->Close();
+}
+
 void PeerSession::Close() {
   const Ref<PeerSession> keep = std::move(this->self);
   this->PeerSessionHook::unlink();
@@ -73,6 +102,7 @@
 
 void PeerSession::OnFrame(wire::PeerFrame& frame) {
   const Ref<PeerSession> keep(this);
+  this->last_contact = this->clock.Now();
   switch (frame.body_case()) {
     case wire::PeerFrame::kHello:
       if (frame.hello().protocol() != kPeerProtocolVersion) {
@@ -113,6 +143,8 @@
       this->stream->Send(reply);
       break;
     }
+    case wire::PeerFrame::kKeepAliveReply:
+      break;
     default:
       spdlog::warn("event=unexpected_frame frame={}", static_cast<int>(frame.body_case()));
       break;
--- a/sidecar/peer_session.h
+++ b/sidecar/peer_session.h
@@ -44,6 +44,10 @@
   /// Queries the peer for its catalog, if this node needs it.
   void RequestCatalog();
 
+  /// Closes the connection if requests of the peer are in progress and its host has been cut off
+  /// for a while. Called periodically.
+  void CheckPeer(TimePoint now);
+
   /// Closes the connection. Requests of the peer that are still waiting are not run, and running
   /// ones are aborted if they are idempotent.
   void Close();
@@ -101,6 +105,9 @@
   bool service_matches = false;
   bool answers_receiver = false;
   Ref<FrameStream> stream;
+  /// When the last frame arrived, and when a keep-alive was sent because none had arrived.
+  TimePoint last_contact;
+  TimePoint keep_alive_sent{};
   /// Keyed by the peer's call id.
   std::map<std::uint64_t, std::unique_ptr<Execution>> executions;
   Ref<PeerSession> self;
