--- /dev/null
+++ b/sidecar/cut_response_test.cc
@@ -0,0 +1,101 @@
+#include <gtest/gtest.h>
+
+#include "net/system_clock.h"
+#include "sidecar/http_client.h"
+#include "sidecar/loop_timer_service.h"
+#include "sidecar/testing/scripted_server.h"
+
+namespace masticpin {
+namespace {
+
+/// Records the result of one call.
+class CallRecorder : public HttpCallObserver {
+ public:
+  void OnSend() override {}
+  void OnResponse(HttpResponse new_response) override {
+    this->response = std::move(new_response);
+    this->complete = true;
+    this->done = true;
+  }
+  void OnCallFailed(ErrorKind, std::string_view) override { this->done = true; }
+
+  HttpResponse response;
+  bool complete = false;
+  bool done = false;
+};
+
+class CutResponseTest : public testing::Test {
+ protected:
+  /// Calls a server that sends `bytes` and closes the connection.
+  CallRecorder Call(const std::string& bytes, bool reset) {
+    ScriptedServer server(this->loop, "127.0.0.1",
+                          [&](ScriptedServer::Connection& connection, const std::string&) {
+                            connection.Send(bytes);
+                            if (reset) {
+                              connection.Reset();
+                            } else {
+                              connection.Close();
+                            }
+                          });
+    HttpClient client(this->loop, this->clock, this->timers, server.Address());
+    CallRecorder result;
+    HttpCall call;
+    call.message = "GET / HTTP/1.1\r\nHost: x\r\nTest-Id: 1\r\n\r\n";
+    call.echo_name = "Test-Id";
+    call.echo_value = "1";
+    const Ref<HttpClientConnection> connection = client.Call(std::move(call), result);
+    const TimePoint end = this->clock.Now() + std::chrono::seconds(5);
+    while (!result.done && this->clock.Now() < end) {
+      this->loop.restart();
+      this->loop.run_one_for(std::chrono::milliseconds(5));
+    }
+    EXPECT_TRUE(result.done);
+    connection->Close();
+    // Ends the pending operations before their objects are destroyed.
+    server.StopListening();
+    for (const auto& open : server.Connections()) {
+      open->Close();
+    }
+    this->loop.restart();
+    this->loop.poll();
+    return result;
+  }
+
+  boost::asio::io_context loop;
+  SystemClock clock;
+  LoopTimerService timers{loop, clock};
+};
+
+// Guards against a success with an empty or short body, framed as whole, that is made of a response
+// whose server stopped at any of its bytes.
+TEST_F(CutResponseTest, ResponseWithAKnownLengthIsNeverCompleteIfCut) {
+  const std::string head = "HTTP/1.1 200 OK\r\nTest-Id: 1\r\nTest-Seal: seal\r\n";
+  for (const std::string& whole :
+       {head + "Content-Length: 12\r\n\r\nhello, world",
+        head + "Content-Length: 12\r\nTest-Last: field\r\n\r\nhello, world",
+        head + "Transfer-Encoding: chunked\r\n\r\nc\r\nhello, world\r\n0\r\n\r\n"}) {
+    for (const bool reset : {false, true}) {
+      for (std::size_t length = 0; length < whole.size(); ++length) {
+        ASSERT_FALSE(this->Call(whole.substr(0, length), reset).complete)
+            << "bytes: " << length << " of " << whole.size() << ", reset: " << reset;
+      }
+    }
+    const CallRecorder result = this->Call(whole, false);
+    EXPECT_TRUE(result.complete);
+    EXPECT_EQ(result.response.body, "hello, world");
+  }
+}
+
+// Guards against taking the cut head of a response without a length for a whole one: the end of the
+// connection only ends its body.
+TEST_F(CutResponseTest, HeadWithoutItsEndIsNeverAResponse) {
+  const std::string head = "HTTP/1.1 200 OK\r\nTest-Id: 1\r\nTest-Seal: seal\r\n\r\n";
+  for (std::size_t length = 0; length < head.size(); ++length) {
+    ASSERT_FALSE(this->Call(head.substr(0, length), false).complete) << "bytes: " << length;
+  }
+  EXPECT_TRUE(this->Call(head, false).complete);
+  EXPECT_FALSE(this->Call(head + "short", true).complete);
+}
+
+}  // namespace
+}  // namespace masticpin
