--- a/sidecar/caller_disconnect_test.cc
+++ b/sidecar/caller_disconnect_test.cc
@@ -124,6 +124,21 @@
   }
 }
 
+// Guards against a delayed request that is sent although its node has given up the link.
+TEST_F(CallerDisconnectTest, DelayedRequestIsNotSentIfItsNodeHasClosedTheLink) {
+  this->AddMachines(RespondToAll);
+  this->fleet.Start();
+  auto peer = std::make_unique<RawPeer>(this->fleet.Loop(), this->fleet.At(1).settings.peer_address,
+                                        "page", "front");
+  peer->Send(RawPeer::MakeRequest(1, "timely", true));
+  ASSERT_TRUE(this->fleet.RunUntil([&] { return peer->Count(wire::PeerFrame::kReply) == 1; }));
+  peer->Send(RawPeer::MakeRequest(2, "late", true, seconds(1)));
+  peer->Send(RawPeer::MakeRequest(3, "late", false, seconds(1)));
+  peer.reset();
+  this->fleet.RunFor(milliseconds(400));
+  EXPECT_EQ(this->RequestCount(1), 1U);
+}
+
 // Guards against a delayed request that is run with more time than its caller waits.
 TEST_F(CallerDisconnectTest, DelayedRequestRunsWithTheTimeThatItsNodeConfirms) {
   this->AddMachines(RespondToAll);
