Say precisely what a cancel of an undelivered request may end

Cause: reading the change again: an acknowledgement on the way looks like a request that did not arrive, so that 'there is no run' was not exact.

Change: two comments.

--- a/sidecar/local_execution.cc
+++ b/sidecar/local_execution.cc
@@ -68,8 +68,8 @@
     this->executor.OnEnded(*this);
     return;
   }
-  // A non-idempotent run continues: aborting it would leave its outcome unknown. Before the
-  // instance has the whole request, there is no run.
+  // A non-idempotent run continues: aborting it would leave its outcome unknown. A request that is
+  // not delivered yet has not started, or only just if its acknowledgement is on the way.
   if (this->is_running && (this->request.idempotent() || !this->connection->IsDelivered())) {
     this->connection->Close();
     this->EndRun(Completion::kCancelled);
--- a/sidecar/local_execution.h
+++ b/sidecar/local_execution.h
@@ -31,8 +31,8 @@
   /// Submits the request for admission.
   void Start();
 
-  /// Ends the execution without a callback. A non-idempotent request that was
-  /// delivered to the instance runs on without an observer.
+  /// Ends the execution without a callback. A non-idempotent request that was delivered to the
+  /// instance runs on without an observer.
   void Cancel();
 
   /// Ends the execution without a callback, even a non-idempotent run. Used when the process exits.
