--- a/sidecar/peer_link.cc
+++ b/sidecar/peer_link.cc
@@ -15,13 +15,6 @@
 /// faster.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(200);
 
-/// Silence of a peer with requests in progress after which a keep-alive is sent, and the time it
-/// has to reply before the connection is given up. A peer that exhausted its CPU quota is silent
-/// for up to 0.1 s, a slowed one for several tenths of a second. The sum of both times is below the
-/// minimum deadline of requests that are retried elsewhere, so that time for the retry is left.
-constexpr Duration kSilenceBeforeKeepAlive = std::chrono::milliseconds(500);
-constexpr Duration kKeepAliveTimeout = std::chrono::milliseconds(700);
-
 /// Time in which the peer's host has to acknowledge the cancel frame of the last request in
 /// progress. After it the connection is given up, so that the requests before the frame are not
 /// delivered when a cut of the link ends: work for a caller that left has to end within 0.5 s.
--- a/sidecar/peer_protocol.h
+++ b/sidecar/peer_protocol.h
@@ -12,6 +12,15 @@
 /// Version of the protocol between nodes. Incremented by changes that older nodes cannot read.
 inline constexpr std::uint32_t kPeerProtocolVersion = 1;
 
+/// Silence of a peer with requests in progress, in either direction, after which a keep-alive is
+/// sent, and the time that the peer has to reply before the connection is given up. A peer that
+/// exhausted its CPU quota is silent for up to 0.1 s, a slowed one for several tenths of a second.
+/// The sum of both times is below the minimum deadline of requests that are retried elsewhere, so
+/// that time for the retry is left. Both sides use the same times: once one has given up, nobody
+/// waits for replies.
+inline constexpr Duration kSilenceBeforeKeepAlive = std::chrono::milliseconds(500);
+inline constexpr Duration kKeepAliveTimeout = std::chrono::milliseconds(700);
+
 /// Converts a point on the clock of this process to the reading that messages carry, and back.
 std::uint64_t ToClockMicroseconds(TimePoint time);
 Duration FromClockMicroseconds(std::uint64_t microseconds);
--- a/sidecar/peer_session.cc
+++ b/sidecar/peer_session.cc
@@ -19,12 +19,6 @@
 /// wait.
 constexpr Duration kMaxConfirmationWait = std::chrono::milliseconds(100);
 
-/// Silence of a peer with requests in progress after which a keep-alive is sent, and the time in
-/// which its host has to acknowledge it. Both are those after which the peer gives up its side of
-/// the link, so that nobody waits for the replies afterwards.
-constexpr Duration kSilenceBeforeKeepAlive = std::chrono::milliseconds(500);
-constexpr Duration kKeepAliveTimeout = std::chrono::milliseconds(700);
-
 }  // namespace
 
 PeerSession::PeerSession(boost::asio::ip::tcp::socket socket,
