--- a/review/standins/server.cc
+++ b/review/standins/server.cc
@@ -9,6 +9,10 @@
 namespace review {
 namespace {
 
+/// Idle connections are closed after this time, as on the sites (`idle_close_ms`).
+constexpr Milliseconds kIdleTimeout(10000);
+constexpr Milliseconds kReadTimeout(200);
+
 long UnixMilliseconds() {
   return std::chrono::duration_cast<Milliseconds>(
              std::chrono::system_clock::now().time_since_epoch())
@@ -52,11 +56,14 @@
 
 void Server::Serve(HttpConnection& connection) {
   HttpMessage request;
-  while (!this->IsStopping()) {
-    const ReadResult result = connection.Read(request, Milliseconds(200));
+  Milliseconds idle(0);
+  while (!this->IsStopping() && idle < kIdleTimeout) {
+    const ReadResult result = connection.Read(request, kReadTimeout);
     if (result == ReadResult::kTimeout) {
+      idle += kReadTimeout;
       continue;
     }
+    idle = Milliseconds(0);
     if (result != ReadResult::kMessage) {
       return;
     }
@@ -109,9 +116,10 @@
         Milliseconds(10), done - std::chrono::steady_clock::now()));
   }
   const std::string body = "body of " + request_id;
-  const bool sent = connection.Write(
-      "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + request_id + "\r\nX-Server-Seal: seal-" + request_id +
-      "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+  const bool sent =
+      connection.Write("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + request_id +
+                       "\r\nX-Server-Seal: seal-" + request_id + "\r\nKeep-Alive: timeout=10" +
+                       "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
   this->record.Line("server " + this->id + " has run " + request_id +
                     (sent ? " and answered 200" : " and could not answer"));
   const std::lock_guard lock(this->runs_mutex);
