--- a/review/standins/deployment.cc
+++ b/review/standins/deployment.cc
@@ -80,13 +80,22 @@
   }
 }
 
-Machine& Deployment::Add(const std::string& service, const std::string& zone) {
+Address Deployment::SecondStoreAddress() const {
+  return {this->network + "251", this->site.store.port};
+}
+
+Machine& Deployment::Add(const std::string& service,
+                         const std::string& zone,
+                         const Address* store_address) {
   const std::string number = std::to_string(this->machines.size() + 1);
   NodeSettings own = this->site;
   own.name = "sidecar-" + number;
   own.service = service;
   own.zone = zone;
   own.ip = this->network + number;
+  if (store_address != nullptr) {
+    own.store = *store_address;
+  }
   auto machine = std::make_unique<Machine>();
   machine->server =
       std::make_unique<Server>(this->record, this->store, "i-" + number, service, zone);
--- a/review/standins/deployment.h
+++ b/review/standins/deployment.h
@@ -47,7 +47,13 @@
   ~Deployment();
 
   /// Adds a machine with a server of `service`, which is registered as ready.
-  Machine& Add(const std::string& service, const std::string& zone);
+  /// `store_address` is where its node reads the store; nullptr for the usual address.
+  Machine& Add(const std::string& service,
+               const std::string& zone,
+               const Address* store_address = nullptr);
+
+  /// A second address for the store.
+  Address SecondStoreAddress() const;
 
   /// Address of the server of machine `index`.
   std::string AppAddress(std::size_t index) const;
--- a/review/standins/store.cc
+++ b/review/standins/store.cc
@@ -78,8 +78,16 @@
 }
 
 void Store::Serve(HttpConnection& connection) {
+  this->ServeCalls(
+      connection, [this] { return this->IsStopping(); }, [](const std::string&) { return false; });
+}
+
+void Store::ServeCalls(HttpConnection& connection,
+                       const std::function<bool()>& stopping,
+                       const std::function<bool(const std::string& target)>& loses) {
   HttpMessage request;
-  while (!this->IsStopping()) {
+  bool silent = false;
+  while (!stopping()) {
     const ReadResult result = connection.Read(request, Milliseconds(200));
     if (result == ReadResult::kTimeout) {
       continue;
@@ -90,7 +98,15 @@
     const std::size_t space = request.start_line.find(' ');
     const std::string target =
         request.start_line.substr(space + 1, request.start_line.find(' ', space + 1) - space - 1);
+    if (silent) {
+      continue;
+    }
     const auto [status, body] = this->Answer(target);
+    if (loses(target)) {
+      silent = true;
+      continue;
+    }
+    ++this->answers;
     connection.Write("HTTP/1.1 " + std::to_string(status) +
                      " Answer\r\nContent-Type: application/json\r\nContent-Length: " +
                      std::to_string(body.size()) + "\r\n\r\n" + body);
@@ -160,6 +176,23 @@
   }
 }
 
+void StoreFront::LoseChangesOf(const std::string& key, bool on) {
+  const std::lock_guard lock(this->fault_mutex);
+  this->losing_key = on ? key : "";
+}
+
+void StoreFront::Serve(HttpConnection& connection) {
+  this->store.ServeCalls(
+      connection, [this] { return this->IsStopping(); },
+      [this](const std::string& target) {
+        const std::lock_guard lock(this->fault_mutex);
+        const bool hit = !this->losing_key.empty() && target.starts_with("/v1/kv-watch?") &&
+                         Parameter(target, "prefix") == this->losing_key;
+        this->lost += hit ? 1 : 0;
+        return hit;
+      });
+}
+
 std::string Store::RevisionField() const {
   return "\"currentRev\":" + std::to_string(this->revision);
 }
--- a/review/standins/store.h
+++ b/review/standins/store.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <atomic>
 #include <condition_variable>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <string>
@@ -20,6 +22,15 @@
   void Put(const std::string& key, const std::string& value);
   void Remove(const std::string& key);
 
+  /// Answers the calls of one connection until it ends or `stopping` says so. If `loses` returns
+  /// true for a call's target, its answer is lost, and the connection returns nothing further.
+  void ServeCalls(HttpConnection& connection,
+                  const std::function<bool()>& stopping,
+                  const std::function<bool(const std::string& target)>& loses);
+
+  /// Number of answers given to all nodes.
+  int Answers() const { return this->answers; }
+
  private:
   struct Item {
     std::string value;
@@ -47,6 +58,28 @@
   std::map<std::string, Item> items;
   std::vector<Event> events;
   std::uint64_t revision = 100;
+  std::atomic<int> answers = 0;
+};
+
+/// A second address of the store, for a node whose calls are to be told from those of others.
+class StoreFront : public HttpService {
+ public:
+  explicit StoreFront(Store& store) : store(store) {}
+  ~StoreFront() override { this->Stop(); }
+
+  /// From now on, answers to calls that wait for a change of `key` are lost, or no longer so.
+  void LoseChangesOf(const std::string& key, bool on);
+
+  /// Number of answers lost.
+  int Lost() const { return this->lost; }
+
+ private:
+  void Serve(HttpConnection& connection) override;
+
+  Store& store;
+  std::mutex fault_mutex;
+  std::string losing_key;
+  std::atomic<int> lost = 0;
 };
 
 }  // namespace review
