Refuse requests that the exit of a stopping node would cut off

Cause: a stopping node passed on whatever came on open connections until it exited, 0.3 s before the end of its stop time. Nothing compared the time that a request may take with the time that was left. Requests in progress kept the process alive, so that the last moment was reached whenever callers went on.

Change: StopSchedule holds all times of a stop and decides, without I/O, what is still started. Requests of the first half of the stop are accepted; later ones only if their deadline passes before the exit. The others get a 503, which is true, and the close of the connection. Retries and waits for a grant ask the same schedule. Inner calls of requests that the instance still runs are accepted until 1 s before the exit, and the listener stays open for them: it closed after 2.2 s, and running requests failed with it. At the exit the log names each request that is cut off (request_cut, execution_cut).

--- /dev/null
+++ b/masticpin/admission/stop_schedule.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "masticpin/base/time.h"
+
+namespace masticpin {
+
+struct StopScheduleSettings {
+  /// Time from the request to stop until the process is killed.
+  Duration stop_time = std::chrono::seconds(6);
+  /// The process exits this long before the end of its stop time, to avoid being killed.
+  Duration exit_margin = std::chrono::milliseconds(300);
+  /// Minimum duration of a shutdown, so that the platform notices that the node is not ready (it
+  /// checks once per second and acts on the second result) and callers move to other machines.
+  Duration min_duration = std::chrono::milliseconds(2200);
+  /// A stopping node forwards requests to its instance for this long. With a longer time, the rest
+  /// of the stop time might not be enough for them to complete; with a shorter one, the instance's
+  /// capacity would be unavailable for longer than necessary.
+  Duration execution_time = std::chrono::milliseconds(1800);
+  /// Time between the deadline of a request and the exit, in which its answer is delivered.
+  Duration answer_time = std::chrono::milliseconds(200);
+  /// An accepted request may start another attempt, or an inner call, until this long before the
+  /// exit. Most complete in this time; a later one would probably be cut.
+  Duration attempt_time = std::chrono::milliseconds(1000);
+};
+
+/// Decides what a stopping node still starts, so that the exit of the process cuts off no request.
+///
+/// The load is callers that go on sending on open connections during the shutdown, because their
+/// zone has no other node. In the first half of the time until the exit all their requests are
+/// accepted, and the second half is left for these to complete. After that, only requests whose
+/// deadline passes before the exit are accepted; the others are refused while it is certain that
+/// they did not run. Not thread-safe.
+class StopSchedule {
+ public:
+  using Settings = StopScheduleSettings;
+
+  explicit StopSchedule(const Settings& settings = {}) : settings(settings) {}
+
+  /// Starts the shutdown; must be called once.
+  void Begin(TimePoint now);
+
+  bool IsStopping() const { return this->stopping; }
+
+  /// Whether a request that has just arrived is accepted; `deadline` is the end of its time limit.
+  bool AcceptsRequest(TimePoint now, TimePoint deadline) const;
+
+  /// Whether an accepted request may start another attempt or an inner call.
+  bool AllowsAttempt(TimePoint now, TimePoint deadline) const;
+
+  /// Whether the local instance gets no more requests.
+  bool IsExecutionOver(TimePoint now) const;
+
+  /// Whether callers had time to notice that the node is not ready.
+  bool IsMinDurationOver(TimePoint now) const;
+
+  /// Whether the process exits now, even if requests are in progress.
+  bool MustExit(TimePoint now) const;
+
+ private:
+  TimePoint ExitAt() const;
+  /// Whether a request with this deadline has its answer before the exit, whatever it does.
+  bool EndsBeforeExit(TimePoint deadline) const;
+
+  const Settings settings;
+  bool stopping = false;
+  TimePoint begin{};
+};
+
+}  // namespace masticpin
--- /dev/null
+++ b/masticpin/admission/stop_schedule_test.cc
@@ -0,0 +1,69 @@
+#include "masticpin/admission/stop_schedule.h"
+
+#include <gtest/gtest.h>
+
+#include <vector>
+
+namespace masticpin {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kBegin{seconds(100)};
+constexpr TimePoint kExit = kBegin + milliseconds(5700);
+
+TEST(StopScheduleTest, EverythingIsAllowedBeforeTheStop) {
+  const StopSchedule schedule;
+  EXPECT_FALSE(schedule.IsStopping());
+  EXPECT_TRUE(schedule.AcceptsRequest(kBegin, kBegin + seconds(60)));
+  EXPECT_TRUE(schedule.AllowsAttempt(kBegin, kBegin + seconds(60)));
+  EXPECT_FALSE(schedule.IsExecutionOver(kBegin));
+  EXPECT_FALSE(schedule.MustExit(kBegin + seconds(60)));
+}
+
+// Guards against requests that are accepted late in a planned stop, run, and lose their answers
+// when the process exits. Callers without another node send one request every 10 ms until the exit.
+TEST(StopScheduleTest, RequestsThatAreAcceptedLateEndBeforeTheExit) {
+  for (const Duration time_limit : {milliseconds(400), milliseconds(1500), milliseconds(6000)}) {
+    StopSchedule schedule;
+    schedule.Begin(kBegin);
+    int accepted_late = 0;
+    for (TimePoint now = kBegin; now < kExit; now += milliseconds(10)) {
+      ASSERT_FALSE(schedule.MustExit(now));
+      if (!schedule.AcceptsRequest(now, now + time_limit)) {
+        continue;
+      }
+      // A request of the first half of the stop has the second half to complete.
+      const bool early = now - kBegin <= kExit - now;
+      accepted_late += early ? 0 : 1;
+      EXPECT_TRUE(early || now + time_limit < kExit);
+    }
+    EXPECT_TRUE(schedule.MustExit(kExit));
+    // Refusing a request that would have been served in time is no better for its caller.
+    EXPECT_EQ(accepted_late > 0, time_limit < milliseconds(2500));
+  }
+}
+
+// Guards against a stop in which callers are refused before they had time to move to another node.
+TEST(StopScheduleTest, AllRequestsAreAcceptedUntilCallersNoticeTheStop) {
+  StopSchedule schedule;
+  schedule.Begin(kBegin);
+  for (TimePoint now = kBegin; !schedule.IsMinDurationOver(now); now += milliseconds(10)) {
+    EXPECT_TRUE(schedule.AcceptsRequest(now, now + seconds(60)));
+  }
+}
+
+// Guards against retries and inner calls that the exit cuts off, and against a running request that
+// fails because one of its inner calls was refused seconds before the exit.
+TEST(StopScheduleTest, AcceptedRequestsGoOnUntilShortlyBeforeTheExit) {
+  StopSchedule schedule;
+  schedule.Begin(kBegin);
+  const TimePoint deadline = kBegin + seconds(7);
+  EXPECT_TRUE(schedule.AllowsAttempt(kExit - milliseconds(1000), deadline));
+  EXPECT_FALSE(schedule.AllowsAttempt(kExit - milliseconds(990), deadline));
+  EXPECT_TRUE(schedule.AllowsAttempt(kExit - milliseconds(300), kExit - milliseconds(200)));
+}
+
+}  // namespace
+}  // namespace masticpin
--- a/sidecar/local_execution.cc
+++ b/sidecar/local_execution.cc
@@ -78,6 +78,12 @@
   }
 }
 
+void LocalExecution::LogCut() const {
+  spdlog::warn("event=execution_cut id={} caller_service={} idempotent={} running={} awaited={}",
+               this->request.request_id(), this->request.caller_service(),
+               this->request.idempotent(), this->is_running, this->observer != nullptr);
+}
+
 void LocalExecution::Abandon() {
   this->observer = nullptr;
   this->ended = true;
--- a/sidecar/local_execution.h
+++ b/sidecar/local_execution.h
@@ -41,6 +41,9 @@
   /// Ends the execution with kDraining if the request was admitted but not sent yet.
   void RefuseIfUnsent();
 
+  /// Logs that the exit of the process cuts off the execution.
+  void LogCut() const;
+
   /// Ends the execution with an error; the request was not run.
   void OnRefused(ErrorKind kind, Duration retry_after) override;
 
--- a/sidecar/local_executor.cc
+++ b/sidecar/local_executor.cc
@@ -34,6 +34,9 @@
 /// Maximum number of requests that wait at one node; each holds its message in memory.
 constexpr std::size_t kQueueCapacity = 2000;
 
+/// Maximum number of log lines about requests that the exit of the process cuts off.
+constexpr int kMaxCutLines = 100;
+
 AdmissionSettings MakeAdmissionSettings() {
   AdmissionSettings settings;
   settings.ceiling = CeilingFor(kDefaultSlots);
@@ -251,6 +254,17 @@
   this->observer.OnInstanceStateOutdated();
 }
 
+void LocalExecutor::LogUnfinished() const {
+  int lines = 0;
+  for (const auto& [call, execution] : this->executions) {
+    if (++lines > kMaxCutLines) {
+      spdlog::warn("event=more_executions_cut executions={}", this->executions.size());
+      return;
+    }
+    execution->LogCut();
+  }
+}
+
 void LocalExecutor::OnEnded(LocalExecution& execution) {
   this->executions.erase(execution.Call());
 }
--- a/sidecar/local_executor.h
+++ b/sidecar/local_executor.h
@@ -71,6 +71,9 @@
 
   bool IsBusy() const { return !this->executions.empty(); }
 
+  /// Logs the requests that wait or run and are cut off by the exit of the process.
+  void LogUnfinished() const;
+
   const LocalExecutorStatistics& Statistics() const { return this->statistics; }
   std::uint64_t OpenedConnections() const { return this->client.OpenedConnections(); }
 
--- a/sidecar/request_router.cc
+++ b/sidecar/request_router.cc
@@ -1,11 +1,19 @@
 #include "sidecar/request_router.h"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 #include <utility>
 
 #include "sidecar/routed_request.h"
 
 namespace masticpin {
+namespace {
+
+/// Maximum number of log lines about requests that the exit of the process cuts off.
+constexpr int kMaxCutLines = 100;
+
+}  // namespace
 
 RequestRouter::RequestRouter(const Settings& settings,
                              const HttpDialect& dialect,
@@ -16,6 +24,7 @@
                              ZoneAwareLoadBalancer& balancer,
                              PeerLinkPool& peers,
                              LocalExecutor& executor,
+                             const StopSchedule& stop,
                              MetricsRegistry& metrics)
     : settings(settings),
       dialect(dialect),
@@ -26,6 +35,7 @@
       balancer(balancer),
       peers(peers),
       executor(executor),
+      stop(stop),
       metrics(metrics),
       latency(metrics.GetHistogram("masticpin_request_seconds",
                                    "Time from the arrival of a request to its answer.")) {}
@@ -37,6 +47,17 @@
   request->Start();
 }
 
+void RequestRouter::LogUnfinished() const {
+  int lines = 0;
+  for (const UnfinishedRequest& request : this->unfinished_requests) {
+    if (++lines > kMaxCutLines) {
+      spdlog::warn("event=more_requests_cut");
+      return;
+    }
+    request.LogCut();
+  }
+}
+
 RequestLimits RequestRouter::Limits() const {
   return this->configuration == nullptr ? RequestLimits{} : this->configuration->Limits();
 }
--- a/sidecar/request_router.h
+++ b/sidecar/request_router.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <boost/intrusive/list.hpp>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -7,6 +8,7 @@
 #include <unordered_map>
 
 #include "masticpin/admission/entry_throttle.h"
+#include "masticpin/admission/stop_schedule.h"
 #include "masticpin/base/clock.h"
 #include "masticpin/base/random_source.h"
 #include "masticpin/base/timer_service.h"
@@ -19,6 +21,7 @@
 #include "sidecar/local_executor.h"
 #include "sidecar/peer_link_pool.h"
 #include "sidecar/request_executor.h"
+#include "sidecar/unfinished_request.h"
 
 namespace masticpin {
 
@@ -49,12 +52,13 @@
                 ZoneAwareLoadBalancer& balancer,
                 PeerLinkPool& peers,
                 LocalExecutor& executor,
+                const StopSchedule& stop,
                 MetricsRegistry& metrics);
   ~RequestRouter() override;
 
   void OnRequest(Ref<HttpExchange> exchange) override;
   RequestLimits Limits() const override;
-  bool IsDraining() const override { return this->draining; }
+  bool IsDraining() const override { return this->stop.IsStopping(); }
 
   /// Applies a configuration. Requests in progress keep the one that they started with.
   void SetConfiguration(Ref<const RoutingConfiguration> new_configuration);
@@ -65,10 +69,10 @@
   /// The version of the current configuration; 0 while there is none.
   std::uint64_t ConfigurationVersion() const;
 
-  /// From now on, connections are closed after their next response.
-  void Drain() { this->draining = true; }
+  bool IsBusy() const { return !this->unfinished_requests.empty(); }
 
-  bool IsBusy() const { return this->requests_in_progress > 0; }
+  /// Logs the requests that have no answer and are cut off by the exit of the process.
+  void LogUnfinished() const;
 
  private:
   friend class RoutedRequest;
@@ -87,6 +91,7 @@
   ZoneAwareLoadBalancer& balancer;
   PeerLinkPool& peers;
   LocalExecutor& executor;
+  const StopSchedule& stop;
   MetricsRegistry& metrics;
   LatencyHistogram& latency;
   std::unordered_map<int, Counter*> response_counters;
@@ -96,9 +101,9 @@
   /// not contain the route.
   std::map<std::string, EntryThrottle, std::less<>> throttles;
   std::uint64_t next_call_id = 1;
-  std::uint32_t requests_in_progress = 0;
+  boost::intrusive::list<UnfinishedRequest, boost::intrusive::constant_time_size<false>>
+      unfinished_requests;
   std::size_t body_bytes_in_progress = 0;
-  bool draining = false;
 };
 
 }  // namespace masticpin
--- a/sidecar/routed_request.cc
+++ b/sidecar/routed_request.cc
@@ -50,13 +50,12 @@
 
 RoutedRequest::RoutedRequest(RequestRouter& router, Ref<HttpExchange> exchange)
     : router(router), exchange(std::move(exchange)), configuration(router.configuration) {
-  ++router.requests_in_progress;
+  router.unfinished_requests.push_back(*this);
   router.body_bytes_in_progress += this->exchange->Request().body.size();
 }
 
 RoutedRequest::~RoutedRequest() {
   this->exchange->SetObserver(nullptr);
-  --this->router.requests_in_progress;
   this->router.body_bytes_in_progress -= this->exchange->Request().body.size();
 }
 
@@ -74,6 +73,10 @@
   }
   this->ReadContext();
   this->ChooseService();
+  if (!this->IsAcceptedDuringStop()) {
+    this->Refuse(ErrorKind::kDraining, Duration::zero(), "the node is shutting down");
+    return;
+  }
   if (this->router.body_bytes_in_progress > this->router.settings.max_body_bytes_in_progress) {
     this->Refuse(ErrorKind::kOverloaded, kMaxRetryAfter,
                  "too many bytes of request bodies in progress");
@@ -99,6 +102,16 @@
   this->Send();
 }
 
+bool RoutedRequest::IsAcceptedDuringStop() const {
+  // The request that made an inner call was accepted, and would fail without it.
+  return this->inner ? this->MayStartAttempt()
+                     : this->router.stop.AcceptsRequest(this->router.clock.Now(), this->deadline);
+}
+
+bool RoutedRequest::MayStartAttempt() const {
+  return this->router.stop.AllowsAttempt(this->router.clock.Now(), this->deadline);
+}
+
 void RoutedRequest::ReadContext() {
   const HttpRequest& request = this->exchange->Request();
   Duration allowed = this->route->timeout;
@@ -218,7 +231,7 @@
   if (this->awaiting_grant) {
     this->awaiting_grant = false;
     this->EndAttempt(InstanceOutcome::kNone);
-    if (reply.error() == 0) {
+    if (reply.error() == 0 && this->MayStartAttempt()) {
       this->granted_elsewhere = true;
       this->Send();
     } else {
@@ -326,7 +339,7 @@
 }
 
 bool RoutedRequest::PrepareRetry(ErrorKind kind) {
-  if (this->sends >= kMaxSends || this->TimeLeft() < kMinTimeForRetry) {
+  if (this->sends >= kMaxSends || this->TimeLeft() < kMinTimeForRetry || !this->MayStartAttempt()) {
     return false;
   }
   if (kind == ErrorKind::kOverloaded && ++this->overload_refusals >= kMaxOverloadRefusals) {
@@ -502,6 +515,15 @@
                Duration::zero(), "deadline reached");
 }
 
+void RoutedRequest::LogCut() const {
+  spdlog::warn("event=request_cut id={} route={} service={} instance={} sends={} sent={} ms={}",
+               this->id, this->route == nullptr ? "" : this->route->name, this->service,
+               this->instance, this->sends, this->call != 0,
+               std::chrono::duration_cast<std::chrono::milliseconds>(this->router.clock.Now() -
+                                                                     this->exchange->ArrivedAt())
+                   .count());
+}
+
 Duration RoutedRequest::TimeLeft() const {
   return this->deadline - this->router.clock.Now();
 }
--- a/sidecar/routed_request.h
+++ b/sidecar/routed_request.h
@@ -17,6 +17,7 @@
 #include "sidecar/http_exchange.h"
 #include "sidecar/peer_link.h"
 #include "sidecar/request_executor.h"
+#include "sidecar/unfinished_request.h"
 
 namespace masticpin {
 
@@ -25,6 +26,7 @@
 /// One request of a caller or of the local instance, from its arrival to its response: chooses
 /// where it runs, sends it there, and retries it if it certainly did not run or is idempotent.
 class RoutedRequest : public RefCounted<RoutedRequest>,
+                      public UnfinishedRequest,
                       private CallerObserver,
                       private ExecutionObserver,
                       private TimerSubscriber {
@@ -34,12 +36,18 @@
 
   void Start();
 
+  void LogCut() const override;
+
  private:
   void OnCallerDisconnected() override;
   void OnExecutionReply(const wire::ExecutionReply& reply) override;
   void OnExecutionLost(ErrorKind kind, std::string_view reason) override;
   void OnTimer(TimePoint now) override;
 
+  /// Whether a stopping node may still pass on the request, which has just arrived.
+  bool IsAcceptedDuringStop() const;
+  /// Whether the node may start another attempt.
+  bool MayStartAttempt() const;
   /// Reads the id and the deadline, and inherits the properties of the request that made this inner
   /// call, if any.
   void ReadContext();
--- a/sidecar/sidecar_node.cc
+++ b/sidecar/sidecar_node.cc
@@ -24,18 +24,6 @@
 /// While the registry is unavailable, peers are queried once per second.
 constexpr std::uint32_t kTicksPerCatalogRequest = 4;
 
-/// Minimum duration of a shutdown, so that the platform notices that the node is not ready (it
-/// checks once per second and acts on the second result) and callers move to other machines.
-constexpr Duration kMinStopTime = std::chrono::milliseconds(2200);
-
-/// A stopping node forwards requests to its instance for this long. With a longer time, the rest of
-/// the stop time might not be enough for them to complete; with a shorter one, the instance's
-/// capacity would be unavailable for longer than necessary.
-constexpr Duration kExecutionGracePeriod = std::chrono::milliseconds(1800);
-
-/// The process exits at least this long before the end of its stop time, to avoid being killed.
-constexpr Duration kStopMargin = std::chrono::milliseconds(300);
-
 /// Share of the memory that the bodies of requests may take, and the same for those of responses. A
 /// body exists several times while it is passed on, so an eighth of each leaves room for the rest.
 constexpr std::size_t kBodyMemoryDivisor = 8;
@@ -48,6 +36,12 @@
   return router;
 }
 
+StopScheduleSettings MakeStopSettings(const SidecarSettings& settings) {
+  StopScheduleSettings stop;
+  stop.stop_time = settings.stop_time;
+  return stop;
+}
+
 HttpClientSettings MakeResponseSettings(const SidecarSettings& settings) {
   HttpClientSettings responses;
   responses.max_large_body_bytes = (settings.memory_mb << 20) / kBodyMemoryDivisor;
@@ -70,6 +64,7 @@
       settings(settings),
       read_settings(std::move(read_settings)),
       source(source),
+      stop(MakeStopSettings(settings)),
       signals(loop, SIGTERM, SIGINT, SIGHUP),
       directory(settings.upstream_address, settings.service),
       balancer(settings.zone, clock, random),
@@ -92,6 +87,7 @@
              this->balancer,
              this->peers,
              this->executor,
+             this->stop,
              this->metrics),
       status(source.Dialect().ready_path, this->metrics, [this] { this->ExportMetrics(); }),
       request_listener(loop, this->router, clock, timers),
@@ -129,14 +125,12 @@
 }
 
 void SidecarNode::Stop() {
-  if (this->stopping) {
+  if (this->stop.IsStopping()) {
     return;
   }
-  this->stopping = true;
-  this->stop_requested_at = this->clock.Now();
+  this->stop.Begin(this->clock.Now());
   spdlog::info("event=node_stopping name={} busy={}", this->settings.name, this->IsBusy());
   this->UpdateReady();
-  this->router.Drain();
 }
 
 void SidecarNode::WaitForSignal() {
@@ -295,8 +289,8 @@
 }
 
 void SidecarNode::UpdateReady() {
-  const bool ready =
-      this->router.ConfigurationVersion() != 0 && this->directory.IsPopulated() && !this->stopping;
+  const bool ready = this->router.ConfigurationVersion() != 0 && this->directory.IsPopulated() &&
+                     !this->stop.IsStopping();
   if (ready != this->status.IsReady()) {
     spdlog::info("event={} version={} instances={}", ready ? "ready" : "not_ready",
                  this->router.ConfigurationVersion(), this->directory.Size());
@@ -310,7 +304,7 @@
 }
 
 void SidecarNode::OnTimer(TimePoint now) {
-  this->timers.Schedule(*this, now + (this->stopping ? kStopTickInterval : kTickInterval));
+  this->timers.Schedule(*this, now + (this->stop.IsStopping() ? kStopTickInterval : kTickInterval));
   if (++this->ticks % kTicksPerLoadLine == 0) {
     this->LogLoad();
   }
@@ -321,11 +315,13 @@
     this->UpdateLocalInstance("entry");
   }
   this->CheckVersionLag(now);
-  if (!this->stopping) {
-    return;
+  if (this->stop.IsStopping()) {
+    this->AdvanceStop(now);
   }
-  const Duration since_stop = now - this->stop_requested_at;
-  if (!this->executor_draining && since_stop >= kExecutionGracePeriod) {
+}
+
+void SidecarNode::AdvanceStop(TimePoint now) {
+  if (!this->executor_draining && this->stop.IsExecutionOver(now)) {
     // From now on the local instance gets no new requests. It keeps running, and its requests in
     // progress are completed.
     this->executor_draining = true;
@@ -334,14 +330,17 @@
   }
   // Connections that were accepted last get one more tick, in which their requests are read.
   const bool done = this->callers_stopped && !this->IsBusy();
-  if (since_stop >= kMinStopTime) {
+  // Requests that the local instance still runs may make inner calls on new connections.
+  if (this->stop.IsMinDurationOver(now) && !this->executor.IsBusy()) {
     this->callers_stopped = true;
     // Callers without another machine keep sending requests. They would keep the process running,
     // and thus the capacity of the instance unavailable, until the end of the stop time.
     this->request_listener.Stop();
   }
-  if (done || since_stop >= this->settings.stop_time - kStopMargin) {
+  if (done || this->stop.MustExit(now)) {
     spdlog::info("event=node_stopped name={} busy={}", this->settings.name, this->IsBusy());
+    this->router.LogUnfinished();
+    this->executor.LogUnfinished();
     this->stopped = true;
     this->loop.stop();
   }
--- a/sidecar/sidecar_node.h
+++ b/sidecar/sidecar_node.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "masticpin/admission/stop_schedule.h"
 #include "masticpin/base/clock.h"
 #include "masticpin/base/random_source.h"
 #include "masticpin/configuration/version_lag_detector.h"
@@ -83,6 +84,8 @@
   /// Reads the configuration again if peers have had a newer one for some time.
   void CheckVersionLag(TimePoint now);
   bool IsBusy() const;
+  /// Takes the steps of the shutdown that are due, and stops the event loop at its end.
+  void AdvanceStop(TimePoint now);
   void ExportMetrics();
   /// Logs the current load of the local instance and the number of its requests since the last
   /// line.
@@ -94,6 +97,7 @@
   const SidecarSettings settings;
   const SettingsReader read_settings;
   DeploymentSource& source;
+  StopSchedule stop;
   boost::asio::signal_set signals;
 
   MetricsRegistry metrics;
@@ -110,13 +114,11 @@
 
   bool registry_unavailable = false;
   VersionLagDetector version_lag;
-  bool stopping = false;
   bool stopped = false;
   /// Whether the local instance gets no more requests because the node is shutting down.
   bool executor_draining = false;
   /// Whether connections of callers are no longer accepted.
   bool callers_stopped = false;
-  TimePoint stop_requested_at{};
   std::uint32_t ticks = 0;
   LocalExecutorStatistics logged_statistics;
 };
--- a/sidecar/sidecar_stop_test.cc
+++ b/sidecar/sidecar_stop_test.cc
@@ -2,7 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <boost/asio/steady_timer.hpp>
 #include <memory>
+#include <set>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -17,6 +19,23 @@
 
 using SidecarStopTest = SidecarNodeFixture;
 
+/// Returns a handler that responds with 200 after `work` and records the ids of the requests.
+ScriptedServer::Handler RespondAfter(boost::asio::io_context& loop,
+                                     Duration work,
+                                     std::set<std::string>& ran) {
+  return [&loop, &ran, work](Connection& connection, const std::string& request) {
+    ran.insert(FieldOf(request, "Test-Id"));
+    auto timer = std::make_shared<boost::asio::steady_timer>(loop, work);
+    timer->async_wait([timer, request,
+                       weak = connection.weak_from_this()](const boost::system::error_code& error) {
+      const auto open = weak.lock();
+      if (!error && open != nullptr) {
+        open->Send(TestFleet::MakeResponse(request));
+      }
+    });
+  };
+}
+
 // Guards against a stopping node that aborts requests, accepts new ones for too long, or still
 // reports that it is ready.
 TEST_F(SidecarStopTest, StoppingNodeFinishesRequestsAndRefusesNewOnes) {
@@ -75,6 +94,80 @@
   EXPECT_EQ(idle.ResponseCount(), 1);
 }
 
+// Guards against requests that come late in a planned stop on open connections, run, and get no
+// answer because the process exits.
+TEST_F(SidecarStopTest, RequestsOnOpenConnectionsAreNotCutByTheExit) {
+  constexpr milliseconds kWork{400};
+  constexpr milliseconds kInterval{100};
+  std::set<std::string> ran;
+  this->fleet.AddMachine("front", RespondToAll);
+  this->fleet.AddMachine("page", RespondAfter(this->fleet.Loop(), kWork, ran));
+  this->fleet.AddRoute("w", "page", false);
+  this->fleet.At(0).settings.stop_time = seconds(4);
+  this->fleet.Start();
+  std::vector<std::unique_ptr<RawCaller>> callers;
+  for (int i = 0; i < 36; ++i) {
+    callers.push_back(
+        std::make_unique<RawCaller>(this->fleet.Loop(), this->fleet.RequestAddress(0)));
+    callers.back()->Send(TestFleet::MakeRequest("first-" + std::to_string(i), "w", "POST"));
+  }
+  for (const auto& caller : callers) {
+    ASSERT_TRUE(this->fleet.RunUntil([&] { return caller->ResponseCount() == 1; }));
+  }
+  this->fleet.At(0).node->Stop();
+  // Each of the callers sends one more request, and some request is always in progress.
+  std::size_t sent = 0;
+  while (sent < callers.size() && !this->fleet.At(0).node->HasStopped()) {
+    callers[sent]->Send(TestFleet::MakeRequest("late-" + std::to_string(sent), "w", "POST"));
+    ++sent;
+    this->fleet.RunUntil([&] { return this->fleet.At(0).node->HasStopped(); }, kInterval);
+  }
+  ASSERT_TRUE(this->fleet.RunUntil([&] { return this->fleet.At(0).node->HasStopped(); }));
+  this->fleet.Kill(0);
+  this->fleet.RunFor(kWork + milliseconds(50));
+  int served = 0;
+  int refused = 0;
+  for (std::size_t i = 0; i < sent; ++i) {
+    const std::string& received = callers[i]->Received();
+    const bool answered = callers[i]->ResponseCount() == 2;
+    const bool has_run = ran.contains("late-" + std::to_string(i));
+    EXPECT_TRUE(answered || !has_run) << "request " << i << " ran and has no answer";
+    const int status = answered ? StatusOf(received.substr(received.rfind("HTTP/1.1"))) : 0;
+    served += status == 200 ? 1 : 0;
+    refused += status == 503 ? 1 : 0;
+    EXPECT_TRUE(status != 503 || !has_run) << "request " << i << " was refused and ran";
+  }
+  EXPECT_GT(served, 10);
+  EXPECT_GT(refused, 0);
+}
+
+// Guards against a server that is refused an inner call while it still runs a request, because its
+// node no longer accepts connections.
+TEST_F(SidecarStopTest, InnerCallsOfRunningRequestsAreServedDuringTheStop) {
+  std::vector<std::pair<Connection*, std::string>> held;
+  this->fleet.AddMachine("page", [&](Connection& connection, const std::string& request) {
+    held.emplace_back(&connection, request);
+  });
+  this->fleet.AddMachine("store", RespondToAll);
+  this->fleet.AddRoute("r", "page", true).timeout = seconds(5);
+  this->fleet.AddRoute("inner", "store", true);
+  this->fleet.Start();
+  RawCaller caller(this->fleet.Loop(), this->fleet.RequestAddress(0));
+  caller.Send(TestFleet::MakeRequest("1", "r"));
+  ASSERT_TRUE(this->fleet.RunUntil([&] { return held.size() == 1; }));
+  this->fleet.At(0).node->Stop();
+  this->fleet.RunFor(milliseconds(2600));
+  RawCaller inner(this->fleet.Loop(), this->fleet.RequestAddress(0));
+  inner.Send(TestFleet::MakeRequest("1.a", "inner"));
+  ASSERT_TRUE(this->fleet.RunUntil([&] { return inner.ResponseCount() == 1; }));
+  EXPECT_EQ(StatusOf(inner.Received()), 200);
+  held[0].first->Send(TestFleet::MakeResponse(held[0].second));
+  ASSERT_TRUE(this->fleet.RunUntil([&] { return caller.ResponseCount() == 1; }));
+  // The stop does not wait any longer than for the last running request.
+  EXPECT_TRUE(this->fleet.RunUntil([&] { return this->fleet.At(0).node->HasStopped(); },
+                                   milliseconds(1000)));
+}
+
 // Guards against callers without another machine that delay the shutdown of a node by sending
 // further requests. In an incident, this made an instance unavailable for five seconds.
 TEST_F(SidecarStopTest, BusyCallersDoNotDelayShutdown) {
