--- a/masticpin/routing/instance_directory.cc
+++ b/masticpin/routing/instance_directory.cc
@@ -1,7 +1,6 @@
 #include "masticpin/routing/instance_directory.h"
 
 #include <algorithm>
-#include <unordered_set>
 #include <utility>
 
 namespace masticpin {
@@ -21,7 +20,26 @@
       local_service(std::move(local_service)),
       settings(settings) {}
 
+void InstanceDirectory::SetServices(const std::vector<ServiceSettings>& new_services) {
+  this->services.clear();
+  for (const ServiceSettings& service : new_services) {
+    this->services.insert(service.name);
+  }
+  for (const auto& [name, entry] : std::exchange(this->unnamed_entries, {})) {
+    this->Apply(entry);
+  }
+}
+
+bool InstanceDirectory::IsNamed(std::string_view service) const {
+  return this->services.empty() || service == this->local_service ||
+         this->services.contains(service);
+}
+
 void InstanceDirectory::Apply(const UpstreamInstance& instance) {
+  if (!this->IsNamed(instance.service)) {
+    this->unnamed_entries[instance.name] = instance;
+    return;
+  }
   if (instance.address == this->local_address && instance.service != this->local_service) {
     return;
   }
@@ -73,9 +91,12 @@
                                   std::uint64_t revision,
                                   TimePoint now) {
   this->populated = true;
+  this->unnamed_entries.clear();
   std::unordered_set<std::string_view> listed;
   for (const UpstreamInstance& instance : list) {
-    listed.insert(instance.name);
+    if (this->IsNamed(instance.service)) {
+      listed.insert(instance.name);
+    }
     this->Apply(instance);
   }
   if (this->AreRemovalsSuspended(now)) {
--- a/masticpin/routing/instance_directory.h
+++ b/masticpin/routing/instance_directory.h
@@ -5,10 +5,12 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "masticpin/base/time.h"
 #include "masticpin/routing/instance_directory_observer.h"
+#include "masticpin/routing/service_settings.h"
 #include "masticpin/routing/upstream_instance.h"
 
 namespace masticpin {
@@ -40,6 +42,11 @@
   /// The observer must outlive the directory.
   void AddObserver(InstanceDirectoryObserver& observer) { this->observers.push_back(&observer); }
 
+  /// Sets the services that the configuration names. Entries of other services describe no
+  /// instance; they are kept aside until a configuration names their service. The local service is
+  /// always named, and so are all services if `services` is empty.
+  void SetServices(const std::vector<ServiceSettings>& services);
+
   /// Applies one entry unless a newer entry, or a newer removal, is known. If two instances have
   /// the same address, the one listed later replaces the earlier one, which no longer exists.
   void Apply(const UpstreamInstance& instance);
@@ -99,6 +106,9 @@
     }
   };
 
+  /// Whether the configuration names the service.
+  bool IsNamed(std::string_view service) const;
+
   /// Removes the instance whose address `instance` has taken over. Returns false if the address
   /// belongs to an instance that was listed later.
   bool ClaimAddress(const UpstreamInstance& instance);
@@ -115,6 +125,10 @@
   std::unordered_map<std::string, std::string, StringHash, std::equal_to<>> names_by_address;
   /// Revision of the removal, by instance name.
   std::unordered_map<std::string, std::uint64_t, StringHash, std::equal_to<>> removal_revisions;
+  /// The services that the configuration names; empty if it names none.
+  std::unordered_set<std::string, StringHash, std::equal_to<>> services;
+  /// Entries of services that the configuration does not name, by instance name.
+  std::unordered_map<std::string, UpstreamInstance, StringHash, std::equal_to<>> unnamed_entries;
   std::vector<InstanceDirectoryObserver*> observers;
   bool populated = false;
   /// Revision of the latest list whose missing entries were removed.
--- a/masticpin/routing/instance_directory_test.cc
+++ b/masticpin/routing/instance_directory_test.cc
@@ -38,6 +38,35 @@
   EXPECT_EQ(this->directory.Find("i-1")->state, InstanceState::kDraining);
 }
 
+// Guards against an entry of another writer that takes the address of a live instance: with a
+// service that no configuration names, it hid the instance and its departure from all nodes.
+TEST_F(InstanceDirectoryTest, EntryOfAnUnnamedServiceTakesNoAddress) {
+  this->directory.SetServices({{"dues", "/h", 1}});
+  this->directory.Apply(Instance("i-1", "192.0.2.2", 10));
+  UpstreamInstance other = Instance("copy", "192.0.2.2", 11);
+  other.service = "unknown";
+  this->directory.ApplyList({Instance("i-1", "192.0.2.2", 10), other}, 12, this->now);
+  EXPECT_EQ(this->directory.Find("copy"), nullptr);
+  UpstreamInstance draining = Instance("i-1", "192.0.2.2", 13);
+  draining.listed_revision = 10;
+  draining.state = InstanceState::kDraining;
+  this->directory.Apply(draining);
+  ASSERT_NE(this->directory.FindByAddress({"192.0.2.2", 80}), nullptr);
+  EXPECT_EQ(this->directory.FindByAddress({"192.0.2.2", 80})->state, InstanceState::kDraining);
+}
+
+// Guards against instances of a new service that get no requests because they were listed before
+// the configuration that names the service was known.
+TEST_F(InstanceDirectoryTest, InstancesOfAServiceThatIsNamedLaterAreKnown) {
+  this->directory.SetServices({{"dues", "/h", 1}});
+  UpstreamInstance instance = Instance("i-1", "192.0.2.2", 10);
+  instance.service = "almanac";
+  this->directory.ApplyList({instance}, 12, this->now);
+  EXPECT_EQ(this->directory.Find("i-1"), nullptr);
+  this->directory.SetServices({{"dues", "/h", 1}, {"almanac", "/h", 1}});
+  EXPECT_NE(this->directory.Find("i-1"), nullptr);
+}
+
 // Guards against a stale list that restores a removed instance.
 TEST_F(InstanceDirectoryTest, RemovedInstanceReturnsOnlyWithNewerEntry) {
   this->directory.Apply(Instance("i-1", "192.0.2.2", 10));
--- a/sidecar/sidecar_node.cc
+++ b/sidecar/sidecar_node.cc
@@ -166,6 +166,7 @@
   spdlog::info("event=configuration_in_force version={} previous={} routes={} services={}",
                configuration->Version(), this->router.ConfigurationVersion(),
                configuration->Routes().size(), configuration->Services().size());
+  this->directory.SetServices(configuration->Services());
   this->router.SetConfiguration(std::move(configuration));
   this->UpdateReady();
 }
