Notice a lost answer of the configuration watch within seconds

Cause: a watch call waits for 25 s, and nothing shows that its answer was lost, since the connection stays open. What was to help, the versions of peers, came only with replies on links that the node itself had opened. A node whose callers are all served by its own instance has none.

Change: the regular reads of the instance list also show how far the registry has advanced. If that is further than the watch has confirmed, the node asks for changes that exist already and then waits again; at most once in 1 s and 2 ms for each instance, so that 15,000 nodes stay below the limit of the registry. In quiet times this makes no call. Besides, requests between nodes carry the sender's version, so that a node that only receives requests learns it too. The watch of the own entry needs no such check: the list contains that entry.

--- /dev/null
+++ b/masticpin/configuration/missed_change_detector.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+
+#include "masticpin/base/time.h"
+
+namespace masticpin {
+
+struct MissedChangeDetectorSettings {
+  /// Minimum time between two checks, and its increase for each listed instance: each change of the
+  /// registry lets all nodes check, and together they have a limited number of calls per second.
+  Duration min_interval = std::chrono::milliseconds(1000);
+  Duration interval_per_instance = std::chrono::milliseconds(2);
+};
+
+/// Detects that the answer to a waiting watch call may have been lost. A watch call waits for a
+/// long time, and nothing shows that its answer was lost: the connection stays open. The regular
+/// reads of the instance list show how far the registry has advanced. If that is further than the
+/// watch has confirmed, the change may be one that the watch waits for. Not thread-safe.
+class MissedChangeDetector {
+ public:
+  using Settings = MissedChangeDetectorSettings;
+
+  explicit MissedChangeDetector(const Settings& settings = {}) : settings(settings) {}
+
+  /// Records that the registry had advanced to `revision` when a list of `instances` was read.
+  /// Returns whether the watch, which has confirmed `confirmed_revision`, must be checked now.
+  bool OnListRead(std::uint64_t revision,
+                  std::size_t instances,
+                  std::uint64_t confirmed_revision,
+                  TimePoint now);
+
+ private:
+  const Settings settings;
+  TimePoint next_check{};
+};
+
+}  // namespace masticpin
--- /dev/null
+++ b/masticpin/configuration/missed_change_detector_test.cc
@@ -0,0 +1,49 @@
+#include "masticpin/configuration/missed_change_detector.h"
+
+#include <gtest/gtest.h>
+
+namespace masticpin {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kStart{seconds(10)};
+
+// Guards against a lost change that is not looked for, and against checks while nothing changes.
+TEST(MissedChangeDetectorTest, ChecksOnlyIfTheRegistryIsAheadOfTheWatch) {
+  MissedChangeDetector detector;
+  EXPECT_FALSE(detector.OnListRead(7, 3, 7, kStart));
+  EXPECT_FALSE(detector.OnListRead(6, 3, 7, kStart));  // A stale list.
+  EXPECT_TRUE(detector.OnListRead(8, 3, 7, kStart));
+}
+
+// Guards against a fleet that overloads the registry. The load: an instance changes every 100 ms,
+// for a minute, and 15,000 nodes read the list every 4 s.
+TEST(MissedChangeDetectorTest, ChecksOfALargeFleetStayBelowTheReadLimit) {
+  constexpr std::size_t kNodes = 15'000;
+  constexpr double kReadsPerSecond = 2000;
+  MissedChangeDetector detector;
+  int checks = 0;
+  std::uint64_t confirmed = 0;
+  for (int second = 0; second < 60; second += 4) {
+    const auto revision = static_cast<std::uint64_t>(10 * second + 1);
+    if (detector.OnListRead(revision, kNodes, confirmed, kStart + seconds(second))) {
+      ++checks;
+      confirmed = revision;
+    }
+  }
+  EXPECT_GE(checks, 1);
+  EXPECT_LT(checks * static_cast<double>(kNodes) / 60, kReadsPerSecond / 2);
+}
+
+// Guards against a check whose own answer is lost and that is not repeated.
+TEST(MissedChangeDetectorTest, ChecksAgainIfTheWatchIsStillBehind) {
+  MissedChangeDetector detector;
+  EXPECT_TRUE(detector.OnListRead(8, 3, 7, kStart));
+  EXPECT_FALSE(detector.OnListRead(8, 3, 7, kStart + milliseconds(900)));
+  EXPECT_TRUE(detector.OnListRead(8, 3, 7, kStart + milliseconds(1800)));
+}
+
+}  // namespace
+}  // namespace masticpin
--- a/sidecar/catalog_store.h
+++ b/sidecar/catalog_store.h
@@ -22,6 +22,9 @@
 
   /// Version of the configuration in force; 0 if there is none.
   virtual std::uint64_t ConfigurationVersion() const = 0;
+
+  /// Called with the version of the configuration that a peer has in force.
+  virtual void OnPeerConfigurationVersion(std::uint64_t version) = 0;
 };
 
 }  // namespace masticpin
--- a/sidecar/peer_link.cc
+++ b/sidecar/peer_link.cc
@@ -58,6 +58,7 @@
   frame.mutable_request()->clear_caller_service();
   const TimePoint now = this->clock.Now();
   frame.mutable_request()->set_sender_clock_us(ToClockMicroseconds(now));
+  frame.mutable_request()->set_configuration_version(this->catalog_store.ConfigurationVersion());
   if (this->calls.empty()) {
     // A peer may send nothing while no request is in progress, so silence is measured from this
     // one.
--- a/sidecar/peer_session.cc
+++ b/sidecar/peer_session.cc
@@ -175,6 +175,7 @@
 }
 
 void PeerSession::OnRequest(wire::ExecutionRequest& request) {
+  this->catalog_store.OnPeerConfigurationVersion(request.configuration_version());
   const std::uint64_t peer_call_id = request.call();
   const std::uint64_t call = this->next_call_id++;
   auto execution = std::make_unique<Execution>(*this, peer_call_id, call);
--- a/sidecar/sidecar_recovery_test.cc
+++ b/sidecar/sidecar_recovery_test.cc
@@ -45,6 +45,23 @@
   EXPECT_EQ(count, 1);
 }
 
+// Guards against a node that keeps an old configuration because it sends no requests to others: it
+// only learned their versions from replies, not from the requests that they send.
+TEST_F(SidecarRecoveryTest, RequestOfAPeerShowsANewerConfiguration) {
+  this->fleet.AddMachine("front", RespondToAll);
+  this->fleet.AddMachine("page", RespondToAll);
+  this->fleet.AddRoute("r", "page", true);
+  this->fleet.Start();
+  this->fleet.Kill(1);
+  this->fleet.PublishConfiguration();
+  this->fleet.StartNode(1);
+  this->fleet.At(1).deployment->observer->OnConfiguration(
+      Ref<const RoutingConfiguration>(new RoutingConfiguration(1, {}, {}, RequestLimits{})));
+  EXPECT_EQ(StatusOf(this->SendRequest(TestFleet::MakeRequest("1", "r"))), 200);
+  EXPECT_TRUE(this->fleet.RunUntil(
+      [&] { return this->fleet.At(1).deployment->configuration_refreshes > 0; }, seconds(2)));
+}
+
 // Guards against forwarding a refusal although another instance has capacity. This includes
 // non-idempotent requests, because a refused request was not run.
 TEST_F(SidecarRecoveryTest, RefusedRequestIsRetriedAtAnotherInstance) {
