Apply the limits in force when a request begins on an open connection

Cause: HttpSession made the parser of the next request, with its limits, when the previous request had ended.

Change: the parser is made when the first byte of the request is there.

--- a/sidecar/http_session.cc
+++ b/sidecar/http_session.cc
@@ -176,16 +176,16 @@
 bool HttpSession::Parse() {
   bool checked_for_close = false;
   while (!this->closed && !this->input_ended && this->exchanges.size() < kMaxPipelined) {
-    if (!this->parser) {
-      this->StartParser();
-    }
     // Empty lines before a request are ignored (RFC 9112, section 2.2).
-    if (!this->parser->got_some()) {
+    if (!this->parser || !this->parser->got_some()) {
       this->input.erase(0, std::min(this->input.find_first_not_of("\r\n"), this->input.size()));
     }
     if (this->input.empty()) {
       break;
     }
+    if (!this->parser) {
+      this->StartParser();
+    }
     boost::system::error_code error;
     const std::size_t used = this->parser->put(boost::asio::buffer(this->input), error);
     this->input.erase(0, used);
--- a/sidecar/request_framing_test.cc
+++ b/sidecar/request_framing_test.cc
@@ -275,5 +275,28 @@
   }
 }
 
+// Guards against a connection that stays open and keeps the limits of the configuration that was in
+// force when its last request ended.
+TEST_F(RequestFramingTest, OpenConnectionAppliesTheLimitsInForce) {
+  const std::string body(7200, 'b');
+  this->fleet.AddMachine("page", RespondToAll);
+  this->fleet.AddRoute("w", "page", false);
+  this->fleet.limits.max_body_bytes = 4096;
+  this->fleet.Start();
+  RawCaller caller(this->fleet.Loop(), this->fleet.RequestAddress(0));
+  caller.Send(TestFleet::MakeRequest("1", "w", "POST", "", "x"));
+  ASSERT_TRUE(this->fleet.RunUntil([&] { return caller.ResponseCount() == 1; }));
+  this->fleet.limits.max_body_bytes = 8192;
+  this->fleet.PublishConfiguration();
+  caller.Send(TestFleet::MakeRequest("2", "w", "POST", "", body));
+  ASSERT_TRUE(this->fleet.RunUntil([&] { return caller.ResponseCount() == 2; }));
+  EXPECT_EQ(StatusOf(caller.Received().substr(caller.Received().rfind("HTTP/1.1"))), 200);
+  this->fleet.limits.max_body_bytes = 4096;
+  this->fleet.PublishConfiguration();
+  caller.Send(TestFleet::MakeRequest("3", "w", "POST", "", body));
+  ASSERT_TRUE(this->fleet.RunUntil([&] { return caller.ResponseCount() == 3; }));
+  EXPECT_EQ(StatusOf(caller.Received().substr(caller.Received().rfind("HTTP/1.1"))), 413);
+}
+
 }  // namespace
 }  // namespace masticpin
--- a/sidecar/testing/test_fleet.cc
+++ b/sidecar/testing/test_fleet.cc
@@ -91,7 +91,7 @@
   for (const auto& machine : this->machines) {
     if (machine->node != nullptr) {
       machine->deployment->observer->OnConfiguration(Ref<const RoutingConfiguration>(
-          new RoutingConfiguration(this->version, this->routes, {}, RequestLimits{})));
+          new RoutingConfiguration(this->version, this->routes, {}, this->limits)));
     }
   }
 }
--- a/sidecar/testing/test_fleet.h
+++ b/sidecar/testing/test_fleet.h
@@ -67,6 +67,9 @@
   }
   boost::asio::io_context& Loop() { return this->loop; }
 
+  /// Limits of the configurations that are published from now on.
+  RequestLimits limits;
+
   /// Returns the text of a request to the route `route`. `fields` are complete header lines.
   static std::string MakeRequest(const std::string& id,
                                  const std::string& route,
