Let a stopping node deliver its answers and read on before it exits

Callers may see: around a planned stop, a request that ran has no answer, or the answer 502 or 504 of another node.

Cause: a connection counted as idle as soon as its last answer was handed to the kernel, and so did a connection between nodes. If the process exits with unread bytes in the socket, the kernel resets the connection and discards what the other host has not received; a reply that was still queued in the process was lost in any case. A request whose body arrives in chunks counted as idle between two of them.

Change: a connection of a caller is busy while an answer is not acknowledged, or a request was read in part. One between nodes is busy while replies are queued or not acknowledged. The wait for a host that does not acknowledge is limited to 1 s after the answer, since it may be cut off.

--- a/sidecar/frame_stream.h
+++ b/sidecar/frame_stream.h
@@ -34,6 +34,9 @@
   /// discarded.
   void Abort();
 
+  /// Whether frames wait to be handed to the kernel.
+  bool HasUnsentFrames() const { return this->writing || !this->pending.empty(); }
+
   /// Number of bytes that were handed to the kernel and that the peer's host has not acknowledged.
   std::size_t UnacknowledgedBytes();
 
--- a/sidecar/http_listener.cc
+++ b/sidecar/http_listener.cc
@@ -17,9 +17,9 @@
   }
 }
 
-bool HttpListener::IsBusy() const {
+bool HttpListener::IsBusy() {
   return std::any_of(this->sessions.begin(), this->sessions.end(),
-                     [](const HttpSession& session) { return session.IsBusy(); });
+                     [](HttpSession& session) { return session.IsBusy(); });
 }
 
 void HttpListener::OnConnection(boost::asio::ip::tcp::socket socket) {
--- a/sidecar/http_listener.h
+++ b/sidecar/http_listener.h
@@ -30,8 +30,8 @@
   /// Stops accepting connections.
   void Stop() { this->acceptor.Stop(); }
 
-  /// Whether any request is in progress or any response is not fully written.
-  bool IsBusy() const;
+  /// Whether any connection is busy; see HttpSession::IsBusy().
+  bool IsBusy();
 
  private:
   void OnConnection(boost::asio::ip::tcp::socket socket) override;
--- a/sidecar/http_session.cc
+++ b/sidecar/http_session.cc
@@ -57,12 +57,20 @@
   this->Read();
 }
 
-bool HttpSession::IsBusy() const {
+bool HttpSession::IsBusy() {
   if (!this->exchanges.empty() || this->writing) {
     return true;
   }
+  if (this->clock.Now() - this->responded_at < kMaxDeliveryWait &&
+      UnacknowledgedBytes(this->socket) > 0) {
+    return true;
+  }
+  if (this->input_ended) {
+    return false;
+  }
+  const bool read_in_part = this->parser && this->parser->got_some();
   boost::system::error_code ignored;  // After an error the pending read closes the connection.
-  return !this->input_ended && this->socket.available(ignored) > 0;
+  return read_in_part || !this->input.empty() || this->socket.available(ignored) > 0;
 }
 
 void HttpSession::Close() {
@@ -350,6 +358,7 @@
     this->Close();
     return;
   }
+  this->responded_at = this->clock.Now();
   if (this->close_after_write) {
     // Shuts down only the sending side, and closes the socket when the caller has closed its side
     // or after a second: closing a socket with unread bytes resets the connection and could discard
--- a/sidecar/http_session.h
+++ b/sidecar/http_session.h
@@ -39,9 +39,9 @@
   /// Closes the connection. The observers of unfinished requests are notified of the disconnect.
   void Close();
 
-  /// Whether a request is in progress, bytes have arrived that were not read yet, or a response is
-  /// not fully written.
-  bool IsBusy() const;
+  /// Whether a request is in progress or was read in part, bytes have arrived that were not read
+  /// yet, or a response is not delivered.
+  bool IsBusy();
 
  private:
   friend class HttpExchange;
@@ -96,6 +96,8 @@
   /// Start of the current wait for bytes of a request; the idle and header timeouts are measured
   /// from it.
   TimePoint waiting_since{};
+  /// When the last response was handed to the kernel.
+  TimePoint responded_at{};
   /// Keeps the session alive until Close(), even while no read or write is pending.
   Ref<HttpSession> self;
 };
--- a/sidecar/peer_listener.cc
+++ b/sidecar/peer_listener.cc
@@ -57,9 +57,9 @@
   }
 }
 
-bool PeerListener::IsBusy() const {
+bool PeerListener::IsBusy() {
   return std::any_of(this->sessions.begin(), this->sessions.end(),
-                     [](const PeerSession& session) { return session.IsBusy(); });
+                     [](PeerSession& session) { return session.IsBusy(); });
 }
 
 void PeerListener::OnConnection(boost::asio::ip::tcp::socket socket) {
--- a/sidecar/peer_listener.h
+++ b/sidecar/peer_listener.h
@@ -35,7 +35,7 @@
   /// Tells all connected peers that this node is about to shut down.
   void AnnounceLeaving();
 
-  bool IsBusy() const;
+  bool IsBusy();
 
  private:
   void OnConnection(boost::asio::ip::tcp::socket socket) override;
--- a/sidecar/peer_session.cc
+++ b/sidecar/peer_session.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "sidecar/peer_protocol.h"
+#include "sidecar/tcp_connection_state.h"
 
 namespace masticpin {
 namespace {
@@ -82,6 +83,14 @@
   this->Close();
 }
 
+bool PeerSession::IsBusy() {
+  if (!this->executions.empty()) {
+    return true;
+  }
+  return this->clock.Now() - this->replied_at < kMaxDeliveryWait &&
+         (this->stream->HasUnsentFrames() || this->stream->UnacknowledgedBytes() > 0);
+}
+
 void PeerSession::Close() {
   const Ref<PeerSession> keep = std::move(this->self);
   this->PeerSessionHook::unlink();
@@ -238,6 +247,7 @@
   PeerSession& owner = this->session;
   frame.mutable_reply()->set_configuration_version(owner.catalog_store.ConfigurationVersion());
   owner.stream->Send(frame);
+  owner.replied_at = owner.clock.Now();
   owner.executions.erase(this->peer_call_id);  // Destroys this object.
 }
 
--- a/sidecar/peer_session.h
+++ b/sidecar/peer_session.h
@@ -52,7 +52,8 @@
   /// ones are aborted if they are idempotent.
   void Close();
 
-  bool IsBusy() const { return !this->executions.empty(); }
+  /// Whether requests of the peer are in progress or a reply is not delivered.
+  bool IsBusy();
 
  private:
   /// One request of the peer.
@@ -108,6 +109,7 @@
   /// When the last frame arrived, and when a keep-alive was sent because none had arrived.
   TimePoint last_contact;
   TimePoint keep_alive_sent{};
+  TimePoint replied_at{};
   /// Keyed by the peer's call id.
   std::map<std::uint64_t, std::unique_ptr<Execution>> executions;
   Ref<PeerSession> self;
--- a/sidecar/sidecar_node.cc
+++ b/sidecar/sidecar_node.cc
@@ -299,7 +299,7 @@
   this->status.SetReady(ready);
 }
 
-bool SidecarNode::IsBusy() const {
+bool SidecarNode::IsBusy() {
   return this->router.IsBusy() || this->executor.IsBusy() || this->peer_listener.IsBusy() ||
          this->request_listener.IsBusy();
 }
--- a/sidecar/sidecar_node.h
+++ b/sidecar/sidecar_node.h
@@ -83,7 +83,7 @@
   void UpdateReady();
   /// Reads the configuration again if peers have had a newer one for some time.
   void CheckVersionLag(TimePoint now);
-  bool IsBusy() const;
+  bool IsBusy();
   /// Takes the steps of the shutdown that are due, and stops the event loop at its end.
   void AdvanceStop(TimePoint now);
   void ExportMetrics();
--- a/sidecar/sidecar_stop_test.cc
+++ b/sidecar/sidecar_stop_test.cc
@@ -2,13 +2,17 @@
 
 #include <gtest/gtest.h>
 
+#include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <memory>
 #include <set>
 #include <thread>
 #include <utility>
 #include <vector>
 
+#include "sidecar/tcp_address.h"
+#include "sidecar/testing/raw_peer.h"
 #include "sidecar/testing/sidecar_node_fixture.h"
 
 namespace masticpin {
@@ -168,6 +172,94 @@
                                    milliseconds(1000)));
 }
 
+// Guards against a process that exits between two chunks of a body.
+TEST_F(SidecarStopTest, RequestThatIsReadInPartIsAnswered) {
+  this->fleet.AddMachine("page", RespondToAll);
+  this->fleet.AddRoute("w", "page", false);
+  this->fleet.Start();
+  RawCaller caller(this->fleet.Loop(), this->fleet.RequestAddress(0));
+  this->fleet.At(0).node->Stop();
+  this->fleet.RunFor(milliseconds(2100));
+  caller.Send(TestFleet::MakeRequest("1", "w", "POST", "Transfer-Encoding: chunked\r\n") +
+              "3\r\nabc\r\n");
+  this->fleet.RunFor(milliseconds(500));
+  caller.Send("3\r\ndef\r\n0\r\n\r\n");
+  ASSERT_TRUE(this->fleet.RunUntil([&] { return this->fleet.At(0).node->HasStopped(); }));
+  this->fleet.Kill(0);
+  this->fleet.RunFor(milliseconds(50));
+  EXPECT_EQ(caller.ResponseCount(), 1);
+}
+
+// Guards against an answer that is discarded on its way to a caller that reads slowly: if the
+// process exits with unread bytes of the caller, the kernel resets the connection.
+TEST_F(SidecarStopTest, AnswerUnderWayToACallerIsNotDiscarded) {
+  const std::string body(std::size_t{512} << 10, 'b');
+  this->fleet.AddMachine("front", RespondToAll);
+  this->fleet.AddMachine("page", [&](Connection& connection, const std::string& request) {
+    connection.Send(TestFleet::MakeResponse(request, body));
+  });
+  this->fleet.AddRoute("r", "page", true);
+  this->fleet.Start();
+  boost::asio::ip::tcp::socket caller(this->fleet.Loop(), boost::asio::ip::tcp::v4());
+  caller.set_option(boost::asio::socket_base::receive_buffer_size(4096));
+  caller.connect(ToEndpoint(this->fleet.RequestAddress(0)));
+  this->fleet.At(0).node->Stop();
+  this->fleet.RunFor(milliseconds(2000));
+  boost::asio::write(caller, boost::asio::buffer(TestFleet::MakeRequest("1", "r")));
+  this->fleet.RunUntil([&] { return this->fleet.At(0).node->HasStopped(); }, milliseconds(600));
+  std::string received;
+  char buffer[4096];
+  boost::system::error_code error;
+  if (this->fleet.At(0).node->HasStopped()) {
+    // The exit finds bytes that the node has not read.
+    boost::asio::write(caller, boost::asio::buffer("x", 1));
+    this->fleet.Kill(0);
+  }
+  caller.non_blocking(true);
+  this->fleet.RunUntil([&] {
+    while (true) {
+      const std::size_t bytes = caller.read_some(boost::asio::buffer(buffer), error);
+      if (error) {
+        return error != boost::asio::error::would_block;
+      }
+      received.append(buffer, bytes);
+    }
+  });
+  EXPECT_TRUE(received.ends_with(body)) << received.size() << " bytes, " << error.message();
+}
+
+// Guards against a node that exits with an answer that its peer has not received: the peer reports
+// an unknown outcome for a request that was served.
+TEST_F(SidecarStopTest, AnswerUnderWayToAPeerIsNotDiscarded) {
+  const std::string body(std::size_t{1} << 20, 'b');
+  std::vector<std::pair<Connection*, std::string>> held;
+  this->fleet.AddMachine("page", [&](Connection& connection, const std::string& request) {
+    held.emplace_back(&connection, request);
+  });
+  this->fleet.AddRoute("r", "page", true);
+  this->fleet.Start();
+  RawPeer peer(this->fleet.Loop(), this->fleet.At(0).settings.peer_address, "page", "front",
+               RawPeer::Reading::kNever);
+  peer.Send(RawPeer::MakeRequest(1, "q1", true));
+  ASSERT_TRUE(this->fleet.RunUntil([&] { return held.size() == 1; }));
+  this->fleet.At(0).node->Stop();
+  this->fleet.RunFor(milliseconds(2000));
+  held[0].first->Send(TestFleet::MakeResponse(held[0].second, body));
+  this->fleet.RunUntil([&] { return this->fleet.At(0).node->HasStopped(); }, milliseconds(600));
+  if (this->fleet.At(0).node->HasStopped()) {
+    // The exit finds a frame that the node has not read.
+    peer.Send(RawPeer::MakeCancel(2));
+    this->fleet.Kill(0);
+  }
+  peer.StartReading();
+  if (this->fleet.At(0).node != nullptr) {
+    ASSERT_TRUE(this->fleet.RunUntil([&] { return this->fleet.At(0).node->HasStopped(); }));
+    this->fleet.Kill(0);
+  }
+  this->fleet.RunFor(milliseconds(500));
+  EXPECT_EQ(peer.Count(wire::PeerFrame::kReply), 1U);
+}
+
 // Guards against callers without another machine that delay the shutdown of a node by sending
 // further requests. In an incident, this made an instance unavailable for five seconds.
 TEST_F(SidecarStopTest, BusyCallersDoNotDelayShutdown) {
--- a/sidecar/tcp_connection_state.h
+++ b/sidecar/tcp_connection_state.h
@@ -3,8 +3,15 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <cstddef>
 
+#include "masticpin/base/time.h"
+
 namespace masticpin {
 
+/// A stopping node waits for at most this long until the remote host has acknowledged an answer: if
+/// the process exits with unread bytes in the socket, the kernel discards what is under way. The
+/// host may be cut off, so the wait is limited.
+constexpr Duration kMaxDeliveryWait = std::chrono::milliseconds(1000);
+
 /// Returns the number of bytes that were written to the socket and that the remote host has not
 /// acknowledged; 0 if the socket is closed. The remote application may not have read acknowledged
 /// bytes yet.
--- a/sidecar/testing/raw_peer.h
+++ b/sidecar/testing/raw_peer.h
@@ -32,6 +32,9 @@
   explicit RawPeer(boost::asio::ip::tcp::socket socket);
   ~RawPeer() override { this->stream->Close(); }
 
+  /// Reads from now on, if it did not before.
+  void StartReading() { this->stream->Start(); }
+
   void Send(const wire::PeerFrame& frame) { this->stream->Send(frame); }
   void Send(const std::vector<wire::PeerFrame>& frames);
 
