--- a/masticpin/configuration/missed_change_detector_test.cc
+++ b/masticpin/configuration/missed_change_detector_test.cc
@@ -26,8 +26,8 @@
   MissedChangeDetector detector;
   int checks = 0;
   std::uint64_t confirmed = 0;
-  for (int second = 0; second < 60; second += 4) {
-    const auto revision = static_cast<std::uint64_t>(10 * second + 1);
+  for (std::uint64_t second = 0; second < 60; second += 4) {
+    const std::uint64_t revision = 10 * second + 1;
     if (detector.OnListRead(revision, kNodes, confirmed, kStart + seconds(second))) {
       ++checks;
       confirmed = revision;
