Choose the interval of checks by the present length of the list

Cause: while a fleet starts, the first lists are short.

Change: the interval is computed at each read, from the last check or the first read.

IntervalGrowsWithTheList fails with the code before.

--- a/masticpin/configuration/missed_change_detector.cc
+++ b/masticpin/configuration/missed_change_detector.cc
@@ -6,14 +6,14 @@
                                       std::size_t instances,
                                       std::uint64_t confirmed_revision,
                                       TimePoint now) {
-  if (!this->next_check) {
+  if (!this->waiting_since) {
     // While a fleet starts, the registry changes all the time.
-    this->next_check = now + this->Interval(instances);
+    this->waiting_since = now;
   }
-  if (revision <= confirmed_revision || now < *this->next_check) {
+  if (revision <= confirmed_revision || now - *this->waiting_since < this->Interval(instances)) {
     return false;
   }
-  this->next_check = now + this->Interval(instances);
+  this->waiting_since = now;
   return true;
 }
 
--- a/masticpin/configuration/missed_change_detector.h
+++ b/masticpin/configuration/missed_change_detector.h
@@ -42,8 +42,8 @@
   Duration Interval(std::size_t instances) const;
 
   const Settings settings;
-  /// Unset until the first list was read.
-  std::optional<TimePoint> next_check;
+  /// Time of the last check, or of the first list read; unset before that.
+  std::optional<TimePoint> waiting_since;
 };
 
 }  // namespace masticpin
--- a/masticpin/configuration/missed_change_detector_test.cc
+++ b/masticpin/configuration/missed_change_detector_test.cc
@@ -43,6 +43,16 @@
   }
 }
 
+// Guards against a check of each node while a fleet starts: the first lists are short, and a short
+// interval that was chosen for them ended when the list was long.
+TEST(MissedChangeDetectorTest, IntervalGrowsWithTheList) {
+  MissedChangeDetector detector;
+  EXPECT_FALSE(detector.OnListRead(8, 1, 7, kStart));
+  EXPECT_FALSE(detector.OnListRead(200, 194, 7, kStart + seconds(2)));
+  EXPECT_FALSE(detector.OnListRead(200, 194, 7, kStart + seconds(190)));
+  EXPECT_TRUE(detector.OnListRead(200, 194, 7, kStart + seconds(196)));
+}
+
 // Guards against a check whose own answer is lost and that is not repeated.
 TEST(MissedChangeDetectorTest, ChecksAgainIfTheWatchIsStillBehind) {
   MissedChangeDetector detector;
