Add failing tests of requests that end without their instance's answer

Callers get a 504 of the node's own, and callers of routes that are not idempotent cannot repeat the request, while its instance is at work:

- a stopping node accepts requests of other nodes that its exit cuts off.

--- a/sidecar/sidecar_stop_test.cc
+++ b/sidecar/sidecar_stop_test.cc
@@ -172,6 +172,43 @@
                                    milliseconds(1000)));
 }
 
+// Guards against a stopping node that accepts requests of other nodes which its exit cuts off,
+// although another instance could run them.
+TEST_F(SidecarStopTest, RequestsOfPeersAreNotCutByTheExit) {
+  constexpr milliseconds kWork{2500};
+  std::set<std::string> ran;
+  this->fleet.AddMachine("front", RespondToAll);
+  this->fleet.AddMachine("page", RespondAfter(this->fleet.Loop(), kWork, ran));
+  this->fleet.AddMachine("page", RespondAfter(this->fleet.Loop(), kWork, ran));
+  this->fleet.AddRoute("w", "page", false).timeout = seconds(6);
+  this->fleet.At(1).settings.stop_time = seconds(4);
+  this->fleet.At(1).entry.slots = 40;
+  this->fleet.At(2).entry.slots = 40;
+  this->fleet.Start();
+  std::vector<std::unique_ptr<RawCaller>> callers;
+  const auto send = [&] {
+    callers.push_back(
+        std::make_unique<RawCaller>(this->fleet.Loop(), this->fleet.RequestAddress(0)));
+    callers.back()->Send(TestFleet::MakeRequest(std::to_string(callers.size()), "w", "POST"));
+  };
+  for (int i = 0; i < 4; ++i) {
+    send();
+  }
+  this->fleet.RunFor(kWork + milliseconds(100));
+  ASSERT_GT(this->RequestCount(1), 0U);
+  this->fleet.At(1).node->Stop();
+  while (callers.size() < 24) {
+    send();
+    this->fleet.RunFor(milliseconds(100));
+  }
+  ASSERT_TRUE(this->fleet.RunUntil([&] { return this->fleet.At(1).node->HasStopped(); }));
+  this->fleet.Kill(1);
+  this->fleet.RunFor(kWork + milliseconds(200));
+  for (const auto& caller : callers) {
+    EXPECT_EQ(StatusOf(caller->Received()), 200);
+  }
+}
+
 // Guards against a process that exits between two chunks of a body.
 TEST_F(SidecarStopTest, RequestThatIsReadInPartIsAnswered) {
   this->fleet.AddMachine("page", RespondToAll);
