Log why a request that may have run has no answer of its instance

A 502 or 504 of the node's own after an attempt that may have run had the same line as a refusal, and nothing said whether the node was stopping, had read its settings again or had a new configuration. answer_missing names these with their ages. caller_connection_closed names the reason when a node closes a connection with unanswered requests; before, only the requests' own lines said that their caller had gone, also when the node had closed the connection.

--- a/masticpin/admission/stop_schedule.h
+++ b/masticpin/admission/stop_schedule.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <optional>
+
 #include "masticpin/base/time.h"
 
 namespace masticpin {
@@ -41,6 +43,11 @@
 
   bool IsStopping() const { return this->stopping; }
 
+  /// Start of the shutdown, if there is one.
+  std::optional<TimePoint> BeganAt() const {
+    return this->stopping ? std::optional(this->begin) : std::nullopt;
+  }
+
   /// Whether a request that has just arrived is accepted; `deadline` is the end of its time limit.
   bool AcceptsRequest(TimePoint now, TimePoint deadline) const;
 
--- a/sidecar/http_listener.cc
+++ b/sidecar/http_listener.cc
@@ -13,7 +13,7 @@
 
 HttpListener::~HttpListener() {
   while (!this->sessions.empty()) {
-    this->sessions.front().Close();
+    this->sessions.front().Close("process exits");
   }
 }
 
--- a/sidecar/http_session.cc
+++ b/sidecar/http_session.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/string.hpp>
 #include <utility>
@@ -73,7 +74,7 @@
   return read_in_part || !this->input.empty() || this->socket.available(ignored) > 0;
 }
 
-void HttpSession::Close() {
+void HttpSession::Close(std::string_view reason) {
   if (this->closed) {
     return;
   }
@@ -85,6 +86,10 @@
   this->socket.close(ignored);
   std::deque<Ref<HttpExchange>> abandoned;
   abandoned.swap(this->exchanges);
+  if (!abandoned.empty() && !reason.empty()) {
+    spdlog::warn("event=caller_connection_closed unanswered={} draining={} reason=\"{}\"",
+                 abandoned.size(), this->handler.IsDraining(), reason);
+  }
   for (const Ref<HttpExchange>& exchange : abandoned) {
     exchange->session = nullptr;
     if (!exchange->responded && exchange->observer != nullptr) {
@@ -96,7 +101,7 @@
 void HttpSession::OnTimer(TimePoint) {
   if (!this->exchanges.empty() && !this->writing) {
     if (IsClosedByRemote(this->socket)) {
-      this->Close();
+      this->Close("");
     } else {
       this->ScheduleTimeout();
     }
@@ -104,7 +109,7 @@
   }
   spdlog::debug("event=caller_timeout writing={} partial_bytes={}", this->writing,
                 this->input.size());
-  this->Close();
+  this->Close("timeout");
 }
 
 void HttpSession::ScheduleTimeout() {
@@ -156,7 +161,7 @@
   }
   if (error) {
     // A caller that has closed its side of the connection does not wait for a response.
-    this->Close();
+    this->Close(error == boost::asio::error::eof ? "" : error.message());
     return;
   }
   if (!this->input_ended) {
@@ -215,7 +220,7 @@
       // The caller may have left before its requests were read.
       if (!checked_for_close && IsClosedByRemote(this->socket)) {
         spdlog::info("event=caller_gone_unread pending={}", this->exchanges.size());
-        this->Close();
+        this->Close("");
         return false;
       }
       checked_for_close = true;
@@ -355,7 +360,7 @@
     return;
   }
   if (error) {
-    this->Close();
+    this->Close(error.message());
     return;
   }
   this->responded_at = this->clock.Now();
@@ -366,7 +371,7 @@
     boost::system::error_code ignored;
     this->socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
     if (!this->reading) {
-      this->Close();
+      this->Close("last response written");
       return;
     }
     this->waiting_since = this->clock.Now();
--- a/sidecar/http_session.h
+++ b/sidecar/http_session.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "masticpin/base/clock.h"
 #include "masticpin/base/ref_counted.h"
@@ -37,7 +38,8 @@
   void Start();
 
   /// Closes the connection. The observers of unfinished requests are notified of the disconnect.
-  void Close();
+  /// `reason` is for the log; it is empty if the caller has closed the connection.
+  void Close(std::string_view reason);
 
   /// Whether a request is in progress or was read in part, bytes have arrived that were not read
   /// yet, or a response is not delivered.
--- a/sidecar/request_router.cc
+++ b/sidecar/request_router.cc
@@ -64,6 +64,7 @@
 
 void RequestRouter::SetConfiguration(Ref<const RoutingConfiguration> new_configuration) {
   this->configuration = std::move(new_configuration);
+  this->configured_at = this->clock.Now();
   std::erase_if(this->throttles, [this](const auto& entry) {
     return std::none_of(this->configuration->Routes().begin(), this->configuration->Routes().end(),
                         [&](const Route& route) { return route.name == entry.first; });
--- a/sidecar/request_router.h
+++ b/sidecar/request_router.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -69,6 +70,9 @@
   /// The version of the current configuration; 0 while there is none.
   std::uint64_t ConfigurationVersion() const;
 
+  /// Records that the settings were read again.
+  void OnSettingsReloaded() { this->reloaded_at = this->clock.Now(); }
+
   bool IsBusy() const { return !this->unfinished_requests.empty(); }
 
   /// Logs the requests that have no answer and are cut off by the exit of the process.
@@ -97,6 +101,10 @@
   std::unordered_map<int, Counter*> response_counters;
 
   Ref<const RoutingConfiguration> configuration;
+  /// When the current configuration came in force and the settings were last read again, for the
+  /// log.
+  std::optional<TimePoint> configured_at;
+  std::optional<TimePoint> reloaded_at;
   /// Keyed by route name. The throttle of a route is dropped with the next configuration that does
   /// not contain the route.
   std::map<std::string, EntryThrottle, std::less<>> throttles;
--- a/sidecar/routed_request.cc
+++ b/sidecar/routed_request.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <optional>
 #include <utility>
 
 #include "masticpin/error/error_info.h"
@@ -448,6 +449,9 @@
                                                             this->exchange->ArrivedAt())
           .count(),
       reason);
+  if (this->may_have_run) {
+    this->LogMissingAnswer(kind, status, reason);
+  }
   if (kind == ErrorKind::kOverloaded) {
     this->refused_for_load = true;
   }
@@ -455,6 +459,24 @@
   this->Finish(reply);
 }
 
+void RoutedRequest::LogMissingAnswer(ErrorKind kind, int status, std::string_view reason) const {
+  const TimePoint now = this->router.clock.Now();
+  const auto age_ms = [now](std::optional<TimePoint> since) -> std::int64_t {
+    return since ? std::chrono::duration_cast<std::chrono::milliseconds>(now - *since).count() : -1;
+  };
+  spdlog::warn(
+      "event=answer_missing id={} route={} instance={} error={} status={} idempotent={} sends={} "
+      "reached={} ms={} timeout_ms={} stopping_ms={} reload_ms={} version={} version_in_force={} "
+      "version_ms={} reason=\"{}\"",
+      this->id, this->route->name, this->instance, GetErrorInfo(kind).name, status,
+      this->route->idempotent, this->sends, this->reached_instances.size(),
+      age_ms(this->exchange->ArrivedAt()),
+      std::chrono::duration_cast<std::chrono::milliseconds>(this->route->timeout).count(),
+      age_ms(this->router.stop.BeganAt()), age_ms(this->router.reloaded_at),
+      this->configuration->Version(), this->router.ConfigurationVersion(),
+      age_ms(this->router.configured_at), reason);
+}
+
 void RoutedRequest::ReportToParent(bool failed) const {
   RunningRequest* parent = this->router.executor.RunningRequests().FindParent(this->id);
   if (parent == nullptr) {
--- a/sidecar/routed_request.h
+++ b/sidecar/routed_request.h
@@ -76,6 +76,9 @@
   void EndAttempt(InstanceOutcome outcome);
   void Respond(const wire::ExecutionReply& reply);
   void Refuse(ErrorKind kind, Duration retry_after, std::string_view reason);
+  /// Logs that a request which may have run ends without an answer of its instance, and which
+  /// changes of this node are recent.
+  void LogMissingAnswer(ErrorKind kind, int status, std::string_view reason) const;
   void Finish(const OutgoingResponse& reply);
   /// Records the result of an inner call at the request that made it.
   void ReportToParent(bool failed) const;
--- a/sidecar/sidecar_node.cc
+++ b/sidecar/sidecar_node.cc
@@ -155,6 +155,7 @@
   }
   spdlog::set_level(spdlog::level::from_str(read->log_level));
   this->executor.SetRetries(read->retries);
+  this->router.OnSettingsReloaded();
   spdlog::info("event=settings_reloaded log_level={} retry_ratio={} retry_slack={}",
                read->log_level, read->retries.ratio, read->retries.slack);
 }
