Refuse requests of peers that the exit of a stopping node would cut off

Callers of a node that was itself stopping got a 504 for requests at work: the node beside the instance accepted requests for 1.8 s after its signal, whatever their deadlines, and exited 5.7 s after it. StopSchedule asked for the time that is left only for callers' own requests, not for those of peers.

A stopping node now accepts an execution only if its deadline passes before the exit, or if twice the longest recent run of its instance fits. Others are refused as not run, and the sender uses another instance.

--- a/masticpin/admission/stop_schedule.cc
+++ b/masticpin/admission/stop_schedule.cc
@@ -22,6 +22,19 @@
          this->EndsBeforeExit(deadline);
 }
 
+bool StopSchedule::AcceptsExecution(TimePoint now,
+                                    TimePoint deadline,
+                                    std::optional<Duration> longest_run) const {
+  if (!this->stopping) {
+    return true;
+  }
+  if (this->IsExecutionOver(now)) {
+    return false;
+  }
+  return this->EndsBeforeExit(deadline) ||
+         (longest_run && this->EndsBeforeExit(now + *longest_run * this->settings.run_time_factor));
+}
+
 bool StopSchedule::IsExecutionOver(TimePoint now) const {
   return this->stopping && now >= this->begin + this->settings.execution_time;
 }
@@ -38,8 +51,8 @@
   return this->begin + this->settings.stop_time - this->settings.exit_margin;
 }
 
-bool StopSchedule::EndsBeforeExit(TimePoint deadline) const {
-  return deadline <= this->ExitAt() - this->settings.answer_time;
+bool StopSchedule::EndsBeforeExit(TimePoint end) const {
+  return end <= this->ExitAt() - this->settings.answer_time;
 }
 
 }  // namespace masticpin
--- a/masticpin/admission/stop_schedule.h
+++ b/masticpin/admission/stop_schedule.h
@@ -14,10 +14,13 @@
   /// Minimum duration of a shutdown, so that the platform notices that the node is not ready (it
   /// checks once per second and acts on the second result) and callers move to other machines.
   Duration min_duration = std::chrono::milliseconds(2200);
-  /// A stopping node forwards requests to its instance for this long. With a longer time, the rest
-  /// of the stop time might not be enough for them to complete; with a shorter one, the instance's
-  /// capacity would be unavailable for longer than necessary.
+  /// A stopping node forwards requests to its instance for this long at most. With a longer time,
+  /// the rest of the stop time might not be enough for them to complete; with a shorter one, the
+  /// instance's capacity would be unavailable for longer than necessary.
   Duration execution_time = std::chrono::milliseconds(1800);
+  /// A request is expected to run for at most this multiple of the longest recent run: the instance
+  /// may become slower while it gets the requests of the nodes that stop.
+  int run_time_factor = 2;
   /// Time between the deadline of a request and the exit, in which its answer is delivered.
   Duration answer_time = std::chrono::milliseconds(200);
   /// An accepted request may start another attempt, or an inner call, until this long before the
@@ -31,7 +34,11 @@
 /// zone has no other node. In the first half of the time until the exit all their requests are
 /// accepted, and the second half is left for these to complete. After that, only requests whose
 /// deadline passes before the exit are accepted; the others are refused while it is certain that
-/// they did not run. Not thread-safe.
+/// they did not run.
+///
+/// The local instance also runs requests of other nodes, whose callers may wait for longer than
+/// this node lives. It gets only those that will have ended by then, judged by their deadlines or
+/// by the run times of the instance; other instances can run the rest. Not thread-safe.
 class StopSchedule {
  public:
   using Settings = StopScheduleSettings;
@@ -54,6 +61,12 @@
   /// Whether an accepted request may start another attempt or an inner call.
   bool AllowsAttempt(TimePoint now, TimePoint deadline) const;
 
+  /// Whether the local instance may still run a request that has just arrived. `longest_run` is
+  /// that of its recent runs, if there were any.
+  bool AcceptsExecution(TimePoint now,
+                        TimePoint deadline,
+                        std::optional<Duration> longest_run) const;
+
   /// Whether the local instance gets no more requests.
   bool IsExecutionOver(TimePoint now) const;
 
@@ -65,8 +78,9 @@
 
  private:
   TimePoint ExitAt() const;
-  /// Whether a request with this deadline has its answer before the exit, whatever it does.
-  bool EndsBeforeExit(TimePoint deadline) const;
+  /// Whether a request that ends at this time, which may be its deadline, has its answer before the
+  /// exit.
+  bool EndsBeforeExit(TimePoint end) const;
 
   const Settings settings;
   bool stopping = false;
--- a/masticpin/admission/stop_schedule_test.cc
+++ b/masticpin/admission/stop_schedule_test.cc
@@ -54,6 +54,37 @@
   }
 }
 
+// Guards against requests of other nodes that a stopping node runs, and that its exit cuts off: the
+// callers' own nodes stop at any other time and wait for longer. Requests of each length arrive
+// every 10 ms.
+TEST(StopScheduleTest, ExecutionsAreAcceptedOnlyIfTheyEndBeforeTheExit) {
+  for (const Duration run : {milliseconds(200), milliseconds(2000), milliseconds(4200)}) {
+    StopSchedule schedule;
+    EXPECT_TRUE(schedule.AcceptsExecution(kBegin, kBegin + seconds(60), std::nullopt));
+    schedule.Begin(kBegin);
+    int accepted = 0;
+    for (TimePoint now = kBegin; now < kExit; now += milliseconds(10)) {
+      if (schedule.AcceptsExecution(now, now + seconds(6), run)) {
+        ++accepted;
+        // The instance may have become slower since its last runs.
+        EXPECT_LT(now + 2 * run, kExit);
+        EXPECT_FALSE(schedule.IsExecutionOver(now));
+      }
+    }
+    EXPECT_EQ(accepted, run == milliseconds(200) ? 180 : run == milliseconds(2000) ? 151 : 0);
+  }
+}
+
+// Guards against a stopping node that refuses what it can run in any case, or runs what nothing is
+// known of.
+TEST(StopScheduleTest, ExecutionsWithoutKnownRunTimesAreJudgedByTheirDeadlines) {
+  StopSchedule schedule;
+  schedule.Begin(kBegin);
+  EXPECT_TRUE(schedule.AcceptsExecution(kBegin, kBegin + seconds(5), std::nullopt));
+  EXPECT_TRUE(schedule.AcceptsExecution(kBegin, kBegin + seconds(5), seconds(9)));
+  EXPECT_FALSE(schedule.AcceptsExecution(kBegin, kBegin + seconds(6), std::nullopt));
+}
+
 // Guards against retries and inner calls that the exit cuts off, and against a running request that
 // fails because one of its inner calls was refused seconds before the exit.
 TEST(StopScheduleTest, AcceptedRequestsGoOnUntilShortlyBeforeTheExit) {
--- a/sidecar/caller_disconnect_test.cc
+++ b/sidecar/caller_disconnect_test.cc
@@ -246,7 +246,7 @@
     LocalExecutorObserver& observer = *this;
     this->executor = std::make_unique<LocalExecutor>(
         this->loop, this->clock, this->timers, this->random, this->dialect, address,
-        HttpClientSettings{}, InstanceRetryBudgetSettings{}, observer);
+        HttpClientSettings{}, InstanceRetryBudgetSettings{}, this->stop, observer);
     return *this->executor;
   }
 
@@ -271,6 +271,7 @@
   SeededRandom random{5};
   LoopTimerService timers{loop, clock};
   HttpDialect dialect = FakeDeployment().Dialect();
+  StopSchedule stop;
   std::unique_ptr<LocalExecutor> executor;
 
  private:
--- a/sidecar/local_execution.cc
+++ b/sidecar/local_execution.cc
@@ -36,11 +36,14 @@
 LocalExecution::LocalExecution(LocalExecutor& executor,
                                wire::ExecutionRequest new_request,
                                ExecutionObserver& observer)
-    : executor(executor), request(std::move(new_request)), observer(&observer) {
+    : executor(executor),
+      request(std::move(new_request)),
+      observer(&observer),
+      arrived_at(executor.clock.Now()) {
   this->priority.importance = static_cast<std::uint8_t>(
       std::min<std::uint32_t>(this->request.importance(), kMaxImportance));
   this->priority.rank = static_cast<std::uint16_t>(this->request.rank());
-  this->deadline = executor.clock.Now() + std::chrono::microseconds(this->request.remaining_us());
+  this->deadline = this->arrived_at + std::chrono::microseconds(this->request.remaining_us());
   this->wait_bound = this->request.inner() ? kMaxInnerWait : kMaxCallerWait;
   this->running.priority = this->priority;
   this->running.is_retry = this->request.repeated();
@@ -246,6 +249,7 @@
   this->is_running = false;
   this->connection.reset();
   this->executor.running.Remove(this->request.request_id(), this->running);
+  this->executor.run_times.Add(this->executor.clock.Now() - this->arrived_at);
   this->executor.admission.Complete(*this, completion,
                                     this->executor.clock.Now() - this->started_at);
 }
--- a/sidecar/local_execution.h
+++ b/sidecar/local_execution.h
@@ -66,6 +66,7 @@
   ExecutionObserver* observer;
   RunningRequest running;
   Ref<HttpClientConnection> connection;
+  const TimePoint arrived_at;
   TimePoint started_at{};
   bool is_running = false;
   /// Whether the instance already responded with 421 and the request was submitted again.
--- a/sidecar/local_executor.cc
+++ b/sidecar/local_executor.cc
@@ -70,6 +70,7 @@
                              SocketAddress upstream_address,
                              const HttpClientSettings& responses,
                              const InstanceRetryBudgetSettings& retries,
+                             const StopSchedule& stop,
                              LocalExecutorObserver& observer)
     : clock(clock),
       timers(timers),
@@ -79,6 +80,8 @@
       retries(retries),
       retry_budget(clock, retries),
       instance(clock),
+      stop(stop),
+      run_times(clock),
       observer(observer),
       pause_detector(
           clock,
@@ -102,11 +105,11 @@
   ++this->statistics.offered;
   // Requests that queued up during a pause may be handled before any timer.
   this->pause_detector.Check();
-  const bool refuses_all = this->RefusesAll();
-  const bool granted = refuses_all || request.granted_elsewhere() || this->TryGrantRetry(request);
+  const bool refused = this->RefusesForStop(request);
+  const bool granted = refused || request.granted_elsewhere() || this->TryGrantRetry(request);
   const Ref<LocalExecution> execution(new LocalExecution(*this, std::move(request), observer));
   this->executions.emplace(execution->Call(), execution);
-  if (refuses_all) {
+  if (refused) {
     execution->OnRefused(ErrorKind::kDraining, Duration::zero());
   } else if (!granted) {
     execution->OnRefused(ErrorKind::kAttemptsExhausted, Duration::zero());
@@ -115,6 +118,13 @@
   }
 }
 
+bool LocalExecutor::RefusesForStop(const wire::ExecutionRequest& request) {
+  const TimePoint now = this->clock.Now();
+  return this->RefusesAll() ||
+         !this->stop.AcceptsExecution(now, now + std::chrono::microseconds(request.remaining_us()),
+                                      this->run_times.Get());
+}
+
 void LocalExecutor::Cancel(std::uint64_t call) {
   const auto found = this->executions.find(call);
   if (found != this->executions.end()) {
--- a/sidecar/local_executor.h
+++ b/sidecar/local_executor.h
@@ -7,6 +7,8 @@
 #include <unordered_map>
 
 #include "masticpin/admission/admission_controller.h"
+#include "masticpin/admission/recent_maximum.h"
+#include "masticpin/admission/stop_schedule.h"
 #include "masticpin/attempts/instance_retry_budget.h"
 #include "masticpin/base/clock.h"
 #include "masticpin/base/random_source.h"
@@ -39,6 +41,7 @@
                 SocketAddress upstream_address,
                 const HttpClientSettings& responses,
                 const InstanceRetryBudgetSettings& retries,
+                const StopSchedule& stop,
                 LocalExecutorObserver& observer);
   ~LocalExecutor() override;
 
@@ -90,6 +93,10 @@
   /// Whether the instance gets no new requests.
   bool RefusesAll() const { return this->instance.IsLeaving() || this->draining; }
 
+  /// Whether the request, which has just arrived, is refused because the instance leaves or the
+  /// process will exit before the request ends.
+  bool RefusesForStop(const wire::ExecutionRequest& request);
+
   /// Logs that the instance begins to leave or is in service again, and refuses what was not sent
   /// to a leaving one.
   void OnInstanceChanged(bool was_leaving, std::uint64_t revision, std::string_view source);
@@ -135,6 +142,9 @@
 
   LocalInstanceState instance;
   DepartureDetector departure;
+  const StopSchedule& stop;
+  /// Times from the arrival of a request until its end.
+  RecentMaximum run_times;
   LocalExecutorObserver& observer;
   PauseDetector pause_detector;
   TimePoint leaving_since{};
