Keep waiting for a peer that is silent while its host responds

Callers got a 504 for requests that were at work, and callers of routes that are not idempotent could not repeat them.

Silence now decides where new requests go, and lets an idempotent request go to another instance as well. It ends no request: what ends it is the reply, the end of the connection, the deadline or the caller. RequestAttempt holds what belongs to one send, so that a request may have several; the first answer is used, and a denied repeat leaves the first attempt alone. A peer whose host responds gets no probes by requests, since the keep-alives on its link show when it is back. A link whose host acknowledges nothing is replaced for new requests, as before, and its requests wait for the kernel's verdict (2.5 s). Bytes of an incomplete frame count as a sign of life.

--- a/masticpin/routing/zone_aware_load_balancer.cc
+++ b/masticpin/routing/zone_aware_load_balancer.cc
@@ -130,13 +130,7 @@
       break;
     }
     case InstanceOutcome::kNodeLost:
-      // The requests of one lost connection fail together and count as one failure.
-      if (now >= candidate->retry_at) {
-        candidate->backoff = std::clamp(candidate->backoff * 2, this->settings.initial_backoff,
-                                        this->settings.max_backoff);
-        candidate->retry_at = now + candidate->backoff;
-      }
-      candidate->load_known = false;
+      this->BackOff(*candidate);
       break;
     case InstanceOutcome::kRefused:
       candidate->backoff = Duration::zero();
@@ -154,6 +148,7 @@
   candidate->load = load;
   candidate->load_at = this->clock.Now();
   candidate->load_known = true;
+  candidate->silent = false;
   candidate->sent_since_report = 0;
   candidate->backoff = Duration::zero();
   candidate->retry_at = TimePoint{};
@@ -167,9 +162,21 @@
   }
 }
 
+void ZoneAwareLoadBalancer::OnNodeSilent(std::string_view name, bool host_responds) {
+  Candidate* candidate = this->Find(name);
+  if (candidate != nullptr) {
+    candidate->silent = host_responds;
+    this->BackOff(*candidate);
+  }
+}
+
 void ZoneAwareLoadBalancer::OnNodeClosed(std::string_view name) {
   Candidate* candidate = this->Find(name);
-  if (candidate != nullptr && candidate->leaving_until > this->clock.Now()) {
+  if (candidate == nullptr) {
+    return;
+  }
+  candidate->silent = false;
+  if (candidate->leaving_until > this->clock.Now()) {
     candidate->leaving_until = TimePoint{};
     candidate->backoff = this->settings.initial_backoff;
     candidate->retry_at = this->clock.Now() + candidate->backoff;
@@ -201,6 +208,7 @@
     candidate->load_known = false;
     candidate->outstanding = 0;
     candidate->failure_share = 0;
+    candidate->silent = false;
     candidate->leaving_until = TimePoint{};
   }
   candidate->zone = instance.zone;
@@ -225,8 +233,20 @@
   return found == this->by_name.end() ? nullptr : found->second;
 }
 
+void ZoneAwareLoadBalancer::BackOff(Candidate& candidate) {
+  const TimePoint now = this->clock.Now();
+  // The requests of one lost connection fail together and count as one failure.
+  if (now >= candidate.retry_at) {
+    candidate.backoff = std::clamp(candidate.backoff * 2, this->settings.initial_backoff,
+                                   this->settings.max_backoff);
+    candidate.retry_at = now + candidate.backoff;
+  }
+  candidate.load_known = false;
+}
+
 bool ZoneAwareLoadBalancer::IsUsable(const Candidate& candidate, TimePoint now) const {
-  return !candidate.draining && candidate.leaving_until <= now && candidate.retry_at <= now;
+  return !candidate.draining && !candidate.silent && candidate.leaving_until <= now &&
+         candidate.retry_at <= now;
 }
 
 double ZoneAwareLoadBalancer::Utilisation(const Candidate& candidate, TimePoint now) const {
--- a/masticpin/routing/zone_aware_load_balancer.h
+++ b/masticpin/routing/zone_aware_load_balancer.h
@@ -85,6 +85,11 @@
   /// connection to it has closed or `leaving_timeout` has passed.
   void OnNodeLeaving(std::string_view name);
 
+  /// Called when the node has not replied for a while, as if a request had failed with kNodeLost.
+  /// If its host responds, the instance gets no new requests until the node responds or the
+  /// connection has closed, because its connection shows that without a request as a probe.
+  void OnNodeSilent(std::string_view name, bool host_responds);
+
   /// Called when the connection to the node has closed. If the node was stopping, its instance is
   /// usable again after `initial_backoff`, because the node may start again soon.
   void OnNodeClosed(std::string_view name);
@@ -102,6 +107,8 @@
     std::string zone;
     std::uint32_t slots = 1;
     bool draining = false;
+    /// Whether the node does not reply, but its host responds.
+    bool silent = false;
     /// Until this time the node is assumed to be stopping.
     TimePoint leaving_until{};
     TimePoint cold_until{};
@@ -129,6 +136,8 @@
   };
 
   Candidate* Find(std::string_view name);
+  /// Starts a back-off, or extends one that has ended.
+  void BackOff(Candidate& candidate);
   bool IsUsable(const Candidate& candidate, TimePoint now) const;
   /// Utilisation of the instance: 1 if all slots are in use, above 1 if requests are queued.
   double Utilisation(const Candidate& candidate, TimePoint now) const;
--- a/masticpin/routing/zone_aware_load_balancer_test.cc
+++ b/masticpin/routing/zone_aware_load_balancer_test.cc
@@ -146,6 +146,38 @@
   EXPECT_EQ(this->Choose({"lost"}), "");
 }
 
+// Guards against requests that wait for a node which is paused, because each of them is the probe
+// whether it still is: its connection tells that.
+TEST_F(ZoneAwareLoadBalancerTest, SilentNodeGetsNoRequestsUntilItResponds) {
+  this->Add("silent", "a");
+  this->Add("other", "b");
+  this->balancer.OnNodeSilent("silent", true);
+  for (int i = 0; i < 50; ++i) {
+    this->clock.Advance(milliseconds(100));
+    EXPECT_EQ(this->Choose(), "other");
+  }
+  // The only instance that is left is tried all the same.
+  EXPECT_EQ(this->Choose({"other"}), "silent");
+  this->ReportLoad("silent", 0);
+  EXPECT_EQ(this->Choose(), "silent");
+}
+
+// Guards against a node that is never tried again after its connection has ended or its host was
+// cut off.
+TEST_F(ZoneAwareLoadBalancerTest, NodeOfAStuckConnectionIsProbed) {
+  this->Add("stuck", "a");
+  this->Add("other", "b");
+  this->balancer.OnNodeSilent("stuck", false);
+  EXPECT_EQ(this->Choose(), "other");
+  this->clock.Advance(milliseconds(200));
+  EXPECT_EQ(this->Choose(), "stuck");
+  this->balancer.OnNodeSilent("stuck", true);
+  this->clock.Advance(seconds(3));
+  EXPECT_EQ(this->Choose(), "other");
+  this->balancer.OnNodeClosed("stuck");
+  EXPECT_EQ(this->Choose(), "stuck");
+}
+
 // Guards against a stopping node that counts as available again because of its last replies: the
 // requests sent to it were interrupted.
 TEST_F(ZoneAwareLoadBalancerTest, LeavingNodeGetsNoRequestsUntilItsConnectionEnds) {
--- a/sidecar/caller_disconnect_test.cc
+++ b/sidecar/caller_disconnect_test.cc
@@ -279,6 +279,7 @@
   void OnInstanceStateOutdated() override {}
   void OnExecutionReply(const wire::ExecutionReply&) override {}
   void OnExecutionLost(ErrorKind, std::string_view) override {}
+  void OnExecutionStalled() override {}
 };
 
 // Guards against a request that is not idempotent and is sent when its connection opens, after its
--- a/sidecar/execution_observer.h
+++ b/sidecar/execution_observer.h
@@ -7,8 +7,8 @@
 
 namespace masticpin {
 
-/// Receives the result of one execution. Exactly one of the methods is called, once, unless the
-/// execution was cancelled. Both may be called from within RequestExecutor::Execute().
+/// Receives the result of one execution: one call of OnExecutionReply() or OnExecutionLost(),
+/// unless the execution was cancelled. Both may be called from within RequestExecutor::Execute().
 class ExecutionObserver {
  public:
   virtual ~ExecutionObserver() = default;
@@ -18,6 +18,10 @@
   /// Called when the executing node is unreachable (kUpstreamUnreachable: it never received the
   /// request) or the connection to it was lost (kPeerLost: it may have run the request).
   virtual void OnExecutionLost(ErrorKind kind, std::string_view reason) = 0;
+
+  /// Called when the executing node has been silent for a while. The execution goes on: its reply
+  /// may still come, and the end of the connection is still reported. The observer may cancel it.
+  virtual void OnExecutionStalled() = 0;
 };
 
 }  // namespace masticpin
--- a/sidecar/frame_stream.cc
+++ b/sidecar/frame_stream.cc
@@ -16,6 +16,9 @@
 /// Buffers that grew beyond this size in a burst are released.
 constexpr std::size_t kMaxRetainedBufferBytes = std::size_t{64} << 10;
 
+/// Maximum number of bytes that one system call hands to the kernel.
+constexpr std::size_t kMaxWriteBytes = std::size_t{64} << 10;
+
 /// Maximum size of the varint that holds a frame's length.
 constexpr std::size_t kMaxLengthBytes = 5;
 
@@ -56,6 +59,15 @@
   return masticpin::UnacknowledgedBytes(this->socket);
 }
 
+std::uint64_t FrameStream::AcknowledgedBytes() {
+  return this->written_bytes + this->written_of_output - this->UnacknowledgedBytes();
+}
+
+bool FrameStream::HasUnreadBytes() const {
+  boost::system::error_code ignored;  // After an error the pending read closes the connection.
+  return this->socket.available(ignored) > 0;
+}
+
 void FrameStream::Read() {
   this->socket.async_read_some(
       boost::asio::buffer(this->read_buffer.get(), kReadBytes),
@@ -72,6 +84,7 @@
 }
 
 void FrameStream::OnRead(std::size_t bytes) {
+  this->received_bytes += bytes;
   this->input.append(this->read_buffer.get(), bytes);
   std::size_t used = 0;
   while (this->observer != nullptr) {
@@ -125,8 +138,15 @@
   this->output.swap(this->pending);
   boost::asio::async_write(
       this->socket, boost::asio::buffer(this->output),
-      [self = Ref<FrameStream>(this)](const boost::system::error_code& error, std::size_t) {
+      [self = Ref<FrameStream>(this)](const boost::system::error_code& error,
+                                      std::size_t bytes) -> std::size_t {
+        self->written_of_output = bytes;
+        return error ? 0 : kMaxWriteBytes;
+      },
+      [self = Ref<FrameStream>(this)](const boost::system::error_code& error, std::size_t bytes) {
         self->writing = false;
+        self->written_bytes += bytes;
+        self->written_of_output = 0;
         self->output.clear();
         if (self->observer == nullptr) {
           return;
--- a/sidecar/frame_stream.h
+++ b/sidecar/frame_stream.h
@@ -40,6 +40,15 @@
   /// Number of bytes that were handed to the kernel and that the peer's host has not acknowledged.
   std::size_t UnacknowledgedBytes();
 
+  /// Number of bytes since the start that the peer's host has acknowledged.
+  std::uint64_t AcknowledgedBytes();
+
+  /// Number of bytes received since the start, including those of incomplete frames.
+  std::uint64_t ReceivedBytes() const { return this->received_bytes; }
+
+  /// Whether bytes have arrived that were not read yet.
+  bool HasUnreadBytes() const;
+
  private:
   static constexpr std::size_t kReadBytes = std::size_t{16} << 10;
 
@@ -56,6 +65,10 @@
   std::string output;
   std::string pending;
   bool writing = false;
+  /// Bytes handed to the kernel by completed writes, and by the one in progress.
+  std::uint64_t written_bytes = 0;
+  std::size_t written_of_output = 0;
+  std::uint64_t received_bytes = 0;
 };
 
 }  // namespace masticpin
--- a/sidecar/peer_link.cc
+++ b/sidecar/peer_link.cc
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <utility>
+#include <vector>
 
 #include "sidecar/peer_protocol.h"
 #include "sidecar/tcp_address.h"
@@ -20,6 +21,10 @@
 /// delivered when a cut of the link ends: work for a caller that left has to end within 0.5 s.
 constexpr Duration kCancelTimeout = std::chrono::milliseconds(400);
 
+/// Unread bytes of the peer are looked for again after this time; they are read in the next pass of
+/// the event loop.
+constexpr Duration kUnreadBytesDelay = std::chrono::milliseconds(10);
+
 /// A connection without requests is closed after this time.
 constexpr Duration kIdleTimeout = std::chrono::seconds(30);
 
@@ -59,13 +64,13 @@
   const TimePoint now = this->clock.Now();
   frame.mutable_request()->set_sender_clock_us(ToClockMicroseconds(now));
   frame.mutable_request()->set_configuration_version(this->catalog_store.ConfigurationVersion());
-  if (this->calls.empty()) {
+  if (this->calls.empty() && !this->silent) {
     // A peer may send nothing while no request is in progress, so silence is measured from this
     // one.
     this->last_contact = now;
     this->keep_alive_pending = false;
   }
-  this->calls[call] = Call{&call_observer, now + remaining};
+  this->calls[call] = Call{&call_observer, now, now + remaining};
   this->last_sent = now;
   switch (this->state) {
     case State::kClosed:
@@ -77,7 +82,9 @@
       break;
     case State::kOpen:
       this->stream->Send(frame);
-      this->timers.Schedule(*this, this->last_contact + kSilenceBeforeKeepAlive);
+      if (!this->keep_alive_pending) {
+        this->timers.Schedule(*this, this->last_contact + kSilenceBeforeKeepAlive);
+      }
       break;
   }
 }
@@ -128,6 +135,7 @@
   EnableDeadPeerDetection(*this->connecting_socket);
   this->state = State::kOpen;
   this->stream = Ref<FrameStream>(new FrameStream(std::move(*this->connecting_socket), *this));
+  this->received_bytes = 0;
   this->connecting_socket.reset();
   this->last_contact = this->clock.Now();
   this->timers.Schedule(*this, this->last_contact + kSilenceBeforeKeepAlive);
@@ -146,8 +154,7 @@
 
 void PeerLink::OnFrame(wire::PeerFrame& frame) {
   const Ref<PeerLink> keep(this);
-  this->last_contact = this->clock.Now();
-  this->keep_alive_pending = false;
+  this->UpdateContact(this->clock.Now());
   switch (frame.body_case()) {
     case wire::PeerFrame::kReply: {
       const wire::ExecutionReply& reply = frame.reply();
@@ -218,15 +225,17 @@
   if (this->state != State::kOpen) {
     return;
   }
-  if (this->calls.empty()) {
-    if (now - this->last_cancel >= kCancelTimeout && this->stream->UnacknowledgedBytes() > 0) {
-      this->Fail(ErrorKind::kPeerLost, "cancelled requests are not acknowledged");
-      return;
-    }
-    if (now - this->last_sent >= kIdleTimeout) {
-      this->Fail(ErrorKind::kPeerLost, "idle");
-      return;
-    }
+  this->UpdateContact(now);
+  if (this->calls.empty() && now - this->last_cancel >= kCancelTimeout &&
+      this->stream->UnacknowledgedBytes() > 0) {
+    this->Fail(ErrorKind::kPeerLost, "cancelled requests are not acknowledged");
+    return;
+  }
+  if (this->calls.empty() && now - this->last_sent >= kIdleTimeout) {
+    this->Fail(ErrorKind::kPeerLost, "idle");
+    return;
+  }
+  if (this->calls.empty() && !this->silent) {
     this->timers.Schedule(*this, this->last_sent + kIdleTimeout);
     return;
   }
@@ -235,15 +244,80 @@
     this->timers.Schedule(*this, this->last_contact + kSilenceBeforeKeepAlive);
     return;
   }
-  if (!this->keep_alive_pending) {
-    this->keep_alive_pending = true;
-    wire::PeerFrame frame;
-    frame.mutable_keep_alive();
-    this->stream->Send(frame);
-    this->timers.Schedule(*this, now + kKeepAliveTimeout);
+  if (this->stream->HasUnreadBytes()) {
+    // The event loop was delayed.
+    this->timers.Schedule(*this, now + kUnreadBytesDelay);
+    return;
+  }
+  if (this->keep_alive_pending && now - this->keep_alive_sent < kKeepAliveTimeout) {
+    this->timers.Schedule(*this, this->keep_alive_sent + kKeepAliveTimeout);
     return;
   }
-  this->Fail(ErrorKind::kPeerLost, "keep-alive timed out");
+  if (this->keep_alive_pending) {
+    this->OnSilence(now);
+    if (this->state != State::kOpen) {
+      return;
+    }
+  }
+  this->SendKeepAlive(now);
+}
+
+void PeerLink::SendKeepAlive(TimePoint now) {
+  this->keep_alive_pending = true;
+  this->keep_alive_sent = now;
+  this->acknowledged_at_keep_alive = this->stream->AcknowledgedBytes();
+  wire::PeerFrame frame;
+  frame.mutable_keep_alive();
+  this->stream->Send(frame);
+  this->timers.Schedule(*this, now + kKeepAliveTimeout);
+}
+
+void PeerLink::UpdateContact(TimePoint now) {
+  if (this->stream->ReceivedBytes() == this->received_bytes) {
+    return;
+  }
+  this->received_bytes = this->stream->ReceivedBytes();
+  this->last_contact = now;
+  this->keep_alive_pending = false;
+  if (this->silent) {
+    this->silent = false;
+    spdlog::info("event=peer_responds peer={} requests={}", this->instance, this->calls.size());
+    this->timers.Schedule(*this, now + kSilenceBeforeKeepAlive);
+  }
+}
+
+void PeerLink::OnSilence(TimePoint now) {
+  const bool responds = this->stream->UnacknowledgedBytes() == 0 ||
+                        this->stream->AcknowledgedBytes() > this->acknowledged_at_keep_alive;
+  if (!this->silent || this->host_responds != responds) {
+    this->silent = true;
+    this->host_responds = responds;
+    this->ReportSilence(now);
+  }
+  // An observer may cancel its request and start others.
+  std::vector<std::uint64_t> stalled;
+  for (auto& [number, call] : this->calls) {
+    if (!call.stalled && now - call.sent_at >= kKeepAliveTimeout) {
+      call.stalled = true;
+      stalled.push_back(number);
+    }
+  }
+  for (const std::uint64_t number : stalled) {
+    const auto found = this->calls.find(number);
+    if (found != this->calls.end()) {
+      found->second.observer->OnExecutionStalled();
+    }
+  }
+}
+
+void PeerLink::ReportSilence(TimePoint now) {
+  spdlog::warn(
+      "event=peer_silent peer={} address={} requests={} silent_ms={} unacknowledged_bytes={} "
+      "host_responds={}",
+      this->instance, this->address.ToString(), this->calls.size(),
+      std::chrono::duration_cast<std::chrono::milliseconds>(now - this->last_contact).count(),
+      this->stream->UnacknowledgedBytes(), this->host_responds);
+  this->observer.OnPeerSilent(this->instance, this->host_responds);
 }
 
 void PeerLink::Fail(ErrorKind kind, std::string_view reason) {
@@ -260,6 +334,8 @@
         text);
   }
   this->state = State::kClosed;
+  this->silent = false;
+  this->keep_alive_pending = false;
   this->timers.Cancel(*this);
   this->connecting_socket.reset();
   this->waiting.clear();
--- a/sidecar/peer_link.h
+++ b/sidecar/peer_link.h
@@ -20,7 +20,9 @@
 
 /// The connection over which this node sends requests to one peer. It is opened by the first
 /// request and closed after it has been idle. A peer that stays silent while requests are in
-/// progress is sent a keep-alive, and the connection is given up if there is no reply.
+/// progress is sent a keep-alive. If there is no reply, the peer is reported as silent, but
+/// requests in progress keep waiting: the peer may only have no processor time. The connection ends
+/// when the kernel finds that the peer's host is gone.
 class PeerLink : public RefCounted<PeerLink>,
                  public RequestExecutor,
                  private FrameObserver,
@@ -47,10 +49,16 @@
   const SocketAddress& Address() const { return this->address; }
   bool HasRequests() const { return !this->calls.empty(); }
 
+  /// Whether the peer is silent and its host acknowledges nothing. Another connection may work.
+  bool IsStuck() const { return this->silent && !this->host_responds; }
+
  private:
   struct Call {
     ExecutionObserver* observer;
+    TimePoint sent_at;
     TimePoint deadline;
+    /// Whether the observer knows that the peer is silent.
+    bool stalled = false;
   };
 
   enum class State : std::uint8_t { kClosed, kConnecting, kOpen };
@@ -62,6 +70,13 @@
   void Confirm(std::uint64_t call);
   void Connect();
   void OnConnected();
+  void SendKeepAlive(TimePoint now);
+  /// Updates the time of the last contact if bytes have arrived, also those of an incomplete frame.
+  void UpdateContact(TimePoint now);
+  /// Called when the peer has not replied to a keep-alive in time. Reports that the first time, and
+  /// to the observer of each request.
+  void OnSilence(TimePoint now);
+  void ReportSilence(TimePoint now);
   /// Closes the connection and fails all requests on it with `kind`.
   void Fail(ErrorKind kind, std::string_view reason);
 
@@ -86,6 +101,14 @@
   /// When the last request in progress was cancelled.
   TimePoint last_cancel{};
   bool keep_alive_pending = false;
+  TimePoint keep_alive_sent{};
+  /// Whether the peer has not replied to the last keep-alive in time, and whether its host has
+  /// acknowledged anything since that was sent.
+  bool silent = false;
+  bool host_responds = true;
+  /// Bytes acknowledged when the last keep-alive was sent, and received at the last check.
+  std::uint64_t acknowledged_at_keep_alive = 0;
+  std::uint64_t received_bytes = 0;
 };
 
 }  // namespace masticpin
--- a/sidecar/peer_link_observer.h
+++ b/sidecar/peer_link_observer.h
@@ -19,6 +19,10 @@
   /// Called when the peer is about to shut down.
   virtual void OnPeerLeaving(std::string_view instance) = 0;
 
+  /// Called when the peer has been silent for a while. `host_responds` says whether its host
+  /// acknowledges what it is sent, so that its process is only paused or slow.
+  virtual void OnPeerSilent(std::string_view instance, bool host_responds) = 0;
+
   /// Called when the connection to the peer has ended or could not be established.
   virtual void OnPeerClosed(std::string_view instance) = 0;
 };
--- a/sidecar/peer_link_pool.cc
+++ b/sidecar/peer_link_pool.cc
@@ -32,6 +32,10 @@
     link->Close();
     link.reset();
   }
+  if (link != nullptr && link->IsStuck()) {
+    Release(*link);
+    link.reset();
+  }
   if (link == nullptr) {
     link = Ref<PeerLink>(new PeerLink(this->loop, this->clock, this->timers, this->observer,
                                       this->catalog_store, instance.name, instance.service,
@@ -47,11 +51,14 @@
   if (found == this->links.end()) {
     return;
   }
-  // Requests in progress are completed on the connection, which then closes when it is idle.
-  if (!found->second->HasRequests()) {
-    found->second->Close();
-  }
+  Release(*found->second);
   this->links.erase(found);
 }
 
+void PeerLinkPool::Release(PeerLink& link) {
+  if (!link.HasRequests()) {
+    link.Close();
+  }
+}
+
 }  // namespace masticpin
--- a/sidecar/peer_session.h
+++ b/sidecar/peer_session.h
@@ -72,6 +72,7 @@
 
     void OnExecutionReply(const wire::ExecutionReply& reply) override;
     void OnExecutionLost(ErrorKind kind, std::string_view reason) override;
+    void OnExecutionStalled() override {}
 
     std::uint64_t Call() const { return this->call; }
 
--- a/sidecar/routed_request.cc
+++ b/sidecar/routed_request.cc
@@ -4,6 +4,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cassert>
 #include <charconv>
 #include <optional>
 #include <utility>
@@ -167,10 +168,10 @@
                                       this->reached_instances);
 }
 
-void RoutedRequest::RecordReachedInstance() {
-  if (std::find(this->reached_instances.begin(), this->reached_instances.end(), this->instance) ==
+void RoutedRequest::RecordReachedInstance(const std::string& name) {
+  if (std::find(this->reached_instances.begin(), this->reached_instances.end(), name) ==
       this->reached_instances.end()) {
-    this->reached_instances.push_back(this->instance);
+    this->reached_instances.push_back(name);
   }
 }
 
@@ -178,30 +179,54 @@
   const std::string_view chosen = this->ChooseInstance();
   const UpstreamInstance* found = chosen.empty() ? nullptr : this->router.directory.Find(chosen);
   if (found == nullptr) {
-    this->Refuse(ErrorKind::kNoInstance, Duration::zero(),
-                 this->excluded_instances.empty() ? "no instance is listed"
-                                                  : "no other instance is available");
+    this->RefuseOrWait(ErrorKind::kNoInstance, Duration::zero(),
+                       this->excluded_instances.empty() ? "no instance is listed"
+                                                        : "no other instance is available");
     return;
   }
   ++this->sends;
-  this->instance = found->name;
-  this->Execute(*found, this->BuildRequest());
+  this->Execute(*found, this->BuildRequest(), RequestAttempt::Purpose::kRun);
 }
 
-void RoutedRequest::Execute(const UpstreamInstance& to, wire::ExecutionRequest message) {
-  this->call = this->router.next_call_id++;
-  message.set_call(this->call);
-  this->router.balancer.OnSent(to.name);
+void RoutedRequest::Execute(const UpstreamInstance& to,
+                            wire::ExecutionRequest message,
+                            RequestAttempt::Purpose purpose) {
+  this->instance = to.name;
+  RequestAttemptObserver& observer = *this;
+  this->attempt = std::make_unique<RequestAttempt>(observer, this->router.balancer, to.name,
+                                                   this->router.next_call_id++, purpose);
+  // The attempt may end, and another one start, before Start() returns.
+  const Ref<RoutedRequest> keep(this);
   if (to.address == this->router.settings.upstream_address) {
-    this->link.reset();
-    this->target = &this->router.executor;
+    this->attempt->Start(this->router.executor, nullptr, std::move(message));
   } else {
-    this->link = this->router.peers.GetLink(to);
-    this->target = this->link.get();
+    const Ref<PeerLink> link = this->router.peers.GetLink(to);
+    this->attempt->Start(*link, link, std::move(message));
   }
-  // Execute() may end this attempt and start another one before it returns.
-  const Ref<RoutedRequest> keep(this);
-  this->target->Execute(std::move(message), *this);
+}
+
+std::unique_ptr<RequestAttempt> RoutedRequest::TakeAttempt(RequestAttempt& ended) {
+  if (this->attempt.get() == &ended) {
+    return std::move(this->attempt);
+  }
+  const auto found =
+      std::find_if(this->stalled_attempts.begin(), this->stalled_attempts.end(),
+                   [&ended](const auto& stalled) { return stalled.get() == &ended; });
+  assert(found != this->stalled_attempts.end());
+  std::unique_ptr<RequestAttempt> taken = std::move(*found);
+  this->stalled_attempts.erase(found);
+  return taken;
+}
+
+void RoutedRequest::CancelAttempts(InstanceOutcome outcome) {
+  if (this->attempt != nullptr) {
+    const std::unique_ptr<RequestAttempt> current = std::move(this->attempt);
+    current->Cancel(current->IsGrantRequest() ? InstanceOutcome::kNone : outcome);
+  }
+  for (const std::unique_ptr<RequestAttempt>& stalled : this->stalled_attempts) {
+    stalled->Cancel(InstanceOutcome::kNone);
+  }
+  this->stalled_attempts.clear();
 }
 
 wire::ExecutionRequest RoutedRequest::BuildRequest() const {
@@ -227,11 +252,11 @@
   return message;
 }
 
-void RoutedRequest::OnExecutionReply(const wire::ExecutionReply& reply) {
+void RoutedRequest::OnAttemptReply(RequestAttempt& source, const wire::ExecutionReply& reply) {
   const Ref<RoutedRequest> keep(this);
-  if (this->awaiting_grant) {
-    this->awaiting_grant = false;
-    this->EndAttempt(InstanceOutcome::kNone);
+  std::unique_ptr<RequestAttempt> ended = this->TakeAttempt(source);
+  if (ended->IsGrantRequest()) {
+    ended->End(InstanceOutcome::kNone);
     if (reply.error() == 0 && this->MayStartAttempt()) {
       this->granted_elsewhere = true;
       this->Send();
@@ -241,7 +266,7 @@
     return;
   }
   if (reply.reached_instance()) {
-    this->RecordReachedInstance();
+    this->RecordReachedInstance(ended->Instance());
     this->inner_calls = reply.inner_calls();
   }
   if (reply.chain_refused()) {
@@ -249,31 +274,19 @@
     this->chain_refused = true;
   }
   if (reply.error() != 0) {
-    const ErrorKind kind = ErrorKindFromWire(reply.error());
-    if (kind == ErrorKind::kAttemptsExhausted) {
-      this->EndAttempt(InstanceOutcome::kRefused);
-      this->RequestGrant();
-      return;
-    }
-    this->may_have_run |= !IsNotRun(kind);
-    InstanceOutcome outcome = InstanceOutcome::kRefused;
-    if (!IsNotRun(kind) || kind == ErrorKind::kUpstreamShed ||
-        kind == ErrorKind::kUpstreamUnreachable) {
-      outcome = InstanceOutcome::kFailed;
-    }
-    if (kind == ErrorKind::kDraining) {
-      this->router.balancer.OnNodeLeaving(this->instance);
-    }
-    this->EndAttempt(outcome);
-    this->OnAttemptFailed(kind, std::chrono::milliseconds(reply.retry_after_ms()), "refused");
+    this->OnAttemptRefused(std::move(ended), reply);
     return;
   }
   // A failure of the server itself may be caused by a fault of this instance; a failure caused by
   // an inner call is not.
   const bool server_failure =
       reply.status() >= 500 && reply.status() != 504 && !reply.chain_failed();
-  this->EndAttempt(server_failure ? InstanceOutcome::kFailed : InstanceOutcome::kGood);
+  ended->End(server_failure ? InstanceOutcome::kFailed : InstanceOutcome::kGood);
   this->may_have_run = true;
+  if (server_failure && this->attempt != nullptr) {
+    return;  // The request is already repeated elsewhere.
+  }
+  this->instance = ended->Instance();
   if (server_failure && this->route->idempotent && this->PrepareRetry(ErrorKind::kUpstreamBroken)) {
     this->last_reply = std::make_unique<wire::ExecutionReply>(reply);
     this->Send();
@@ -282,22 +295,70 @@
   this->Respond(reply);
 }
 
-void RoutedRequest::OnExecutionLost(ErrorKind kind, std::string_view reason) {
+void RoutedRequest::OnAttemptRefused(std::unique_ptr<RequestAttempt> ended,
+                                     const wire::ExecutionReply& reply) {
+  const ErrorKind kind = ErrorKindFromWire(reply.error());
+  InstanceOutcome outcome = InstanceOutcome::kRefused;
+  if (!IsNotRun(kind) || kind == ErrorKind::kUpstreamShed ||
+      kind == ErrorKind::kUpstreamUnreachable) {
+    outcome = InstanceOutcome::kFailed;
+  }
+  ended->End(outcome);
+  if (kind == ErrorKind::kDraining) {
+    this->router.balancer.OnNodeLeaving(ended->Instance());
+  }
+  this->may_have_run |= !IsNotRun(kind);
+  if (this->attempt != nullptr) {
+    return;  // A stalled attempt has ended; the request is already repeated elsewhere.
+  }
+  this->instance = ended->Instance();
+  if (kind == ErrorKind::kAttemptsExhausted) {
+    this->RequestGrant();
+  } else {
+    this->OnAttemptFailed(kind, std::chrono::milliseconds(reply.retry_after_ms()), "refused");
+  }
+}
+
+void RoutedRequest::OnAttemptLost(RequestAttempt& source, ErrorKind kind, std::string_view reason) {
   const Ref<RoutedRequest> keep(this);
-  if (this->awaiting_grant) {
-    this->awaiting_grant = false;
-    this->EndAttempt(InstanceOutcome::kNodeLost);
+  const std::unique_ptr<RequestAttempt> ended = this->TakeAttempt(source);
+  ended->End(InstanceOutcome::kNodeLost);
+  if (ended->IsGrantRequest()) {
     this->OnRetryDenied();
     return;
   }
   if (!IsNotRun(kind)) {
-    this->RecordReachedInstance();
+    this->RecordReachedInstance(ended->Instance());
     this->may_have_run = true;
   }
-  this->EndAttempt(InstanceOutcome::kNodeLost);
+  if (this->attempt != nullptr) {
+    return;  // A stalled attempt has ended; the request is already repeated elsewhere.
+  }
+  this->instance = ended->Instance();
   this->OnAttemptFailed(kind, Duration::zero(), reason);
 }
 
+void RoutedRequest::OnAttemptStalled(RequestAttempt& source) {
+  const Ref<RoutedRequest> keep(this);
+  if (&source != this->attempt.get()) {
+    return;
+  }
+  if (source.IsGrantRequest()) {
+    const std::unique_ptr<RequestAttempt> ended = this->TakeAttempt(source);
+    ended->Cancel(InstanceOutcome::kNone);
+    this->OnRetryDenied();
+    return;
+  }
+  if (!this->PrepareHedge()) {
+    return;
+  }
+  this->may_have_run = true;
+  this->last_error = ErrorKind::kPeerLost;
+  this->last_retry_after = Duration::zero();
+  this->stalled_attempts.push_back(std::move(this->attempt));
+  this->Send();
+}
+
 void RoutedRequest::OnAttemptFailed(ErrorKind kind, Duration retry_after, std::string_view reason) {
   if (kind == ErrorKind::kOverloaded) {
     this->refused_for_load = true;
@@ -308,7 +369,7 @@
     this->Send();
     return;
   }
-  this->Refuse(kind, retry_after, reason);
+  this->RefuseOrWait(kind, retry_after, reason);
 }
 
 void RoutedRequest::RequestGrant() {
@@ -325,10 +386,7 @@
   message.set_rank(this->priority.rank);
   message.set_inner(this->inner);
   message.set_repeat_cost(this->retry_cost);
-  message.set_grant_only(true);
-  this->awaiting_grant = true;
-  this->instance = found->name;
-  this->Execute(*found, std::move(message));
+  this->Execute(*found, std::move(message), RequestAttempt::Purpose::kGrant);
 }
 
 void RoutedRequest::OnRetryDenied() {
@@ -336,7 +394,45 @@
     this->Respond(*this->last_reply);
     return;
   }
-  this->Refuse(this->last_error, this->last_retry_after, "retry budget is used up");
+  this->RefuseOrWait(this->last_error, this->last_retry_after, "retry budget is used up");
+}
+
+void RoutedRequest::RefuseOrWait(ErrorKind kind, Duration retry_after, std::string_view reason) {
+  if (this->stalled_attempts.empty()) {
+    this->Refuse(kind, retry_after, reason);
+  }
+}
+
+bool RoutedRequest::PrepareHedge() {
+  const bool may_run_twice = this->route->idempotent && this->runs + 1 < this->route->attempts;
+  if (!may_run_twice || this->sends >= kMaxSends || this->TimeLeft() < kMinTimeForRetry ||
+      !this->MayStartAttempt()) {
+    return false;
+  }
+  const std::vector<std::string> previously_reached = this->reached_instances;
+  this->RecordReachedInstance(this->instance);
+  this->excluded_instances.push_back(this->instance);
+  if (!this->MayTryNewInstance() || this->ChooseInstance().empty()) {
+    this->excluded_instances.pop_back();
+    this->reached_instances = previously_reached;
+    return false;
+  }
+  ++this->runs;
+  this->RequireGrant();
+  this->LogRepeat(ErrorKind::kPeerLost);
+  return true;
+}
+
+void RoutedRequest::RequireGrant() {
+  this->is_retry = true;
+  this->retry_cost = 1 + this->inner_calls;
+  this->granted_elsewhere = false;
+}
+
+void RoutedRequest::LogRepeat(ErrorKind kind) const {
+  spdlog::info("event=request_repeated id={} service={} instance={} error={} sends={} reached={}",
+               this->id, this->service, this->instance, GetErrorInfo(kind).name, this->sends,
+               this->reached_instances.size());
 }
 
 bool RoutedRequest::PrepareRetry(ErrorKind kind) {
@@ -376,23 +472,12 @@
   if (reached_instance) {
     // The retry counts against the service's retry budget and must be granted by the node of the
     // instance that it is sent to.
-    this->is_retry = true;
-    this->retry_cost = 1 + this->inner_calls;
-    this->granted_elsewhere = false;
+    this->RequireGrant();
   }
-  spdlog::info("event=request_repeated id={} service={} instance={} error={} sends={} reached={}",
-               this->id, this->service, this->instance, GetErrorInfo(kind).name, this->sends,
-               this->reached_instances.size());
+  this->LogRepeat(kind);
   return true;
 }
 
-void RoutedRequest::EndAttempt(InstanceOutcome outcome) {
-  if (this->call != 0) {
-    this->call = 0;
-    this->router.balancer.OnOutcome(this->instance, outcome);
-  }
-}
-
 void RoutedRequest::Respond(const wire::ExecutionReply& reply) {
   const bool failed = reply.status() >= 500;
   if (failed) {
@@ -501,6 +586,7 @@
   this->router.latency.Record(this->router.clock.Now() - this->exchange->ArrivedAt());
   this->router.CountResponse(reply.status);
   const Ref<RoutedRequest> keep = std::move(this->self);
+  this->CancelAttempts(InstanceOutcome::kNone);
   this->exchange->Respond(reply);
 }
 
@@ -511,10 +597,7 @@
   }
   this->finished = true;
   this->router.timers.Cancel(*this);
-  if (this->call != 0) {
-    this->target->Cancel(this->call);
-    this->EndAttempt(InstanceOutcome::kNone);
-  }
+  this->CancelAttempts(InstanceOutcome::kNone);
   if (this->throttle_admitted) {
     this->router.GetThrottle(*this->route).OnEnd(this->exchange->ArrivedAt(), this->chain_refused);
   }
@@ -528,11 +611,8 @@
 
 void RoutedRequest::OnTimer(TimePoint) {
   const Ref<RoutedRequest> keep(this);
-  if (this->call != 0) {
-    this->target->Cancel(this->call);
-    this->may_have_run |= !this->awaiting_grant;
-    this->EndAttempt(this->awaiting_grant ? InstanceOutcome::kNone : InstanceOutcome::kFailed);
-  }
+  this->may_have_run |= this->attempt != nullptr && !this->attempt->IsGrantRequest();
+  this->CancelAttempts(InstanceOutcome::kFailed);
   this->Refuse(this->may_have_run ? ErrorKind::kDeadlineExceeded : ErrorKind::kExpiredBeforeStart,
                Duration::zero(), "deadline reached");
 }
@@ -540,7 +620,7 @@
 void RoutedRequest::LogCut() const {
   spdlog::warn("event=request_cut id={} route={} service={} instance={} sends={} sent={} ms={}",
                this->id, this->route == nullptr ? "" : this->route->name, this->service,
-               this->instance, this->sends, this->call != 0,
+               this->instance, this->sends, this->HasAttempt(),
                std::chrono::duration_cast<std::chrono::milliseconds>(this->router.clock.Now() -
                                                                      this->exchange->ArrivedAt())
                    .count());
--- a/sidecar/routed_request.h
+++ b/sidecar/routed_request.h
@@ -13,10 +13,9 @@
 #include "masticpin/routing/routing_configuration.h"
 #include "masticpin/routing/upstream_instance.h"
 #include "sidecar/caller_observer.h"
-#include "sidecar/execution_observer.h"
 #include "sidecar/http_exchange.h"
-#include "sidecar/peer_link.h"
-#include "sidecar/request_executor.h"
+#include "sidecar/request_attempt.h"
+#include "sidecar/request_attempt_observer.h"
 #include "sidecar/unfinished_request.h"
 
 namespace masticpin {
@@ -28,7 +27,7 @@
 class RoutedRequest : public RefCounted<RoutedRequest>,
                       public UnfinishedRequest,
                       private CallerObserver,
-                      private ExecutionObserver,
+                      private RequestAttemptObserver,
                       private TimerSubscriber {
  public:
   RoutedRequest(RequestRouter& router, Ref<HttpExchange> exchange);
@@ -40,8 +39,9 @@
 
  private:
   void OnCallerDisconnected() override;
-  void OnExecutionReply(const wire::ExecutionReply& reply) override;
-  void OnExecutionLost(ErrorKind kind, std::string_view reason) override;
+  void OnAttemptReply(RequestAttempt& source, const wire::ExecutionReply& reply) override;
+  void OnAttemptLost(RequestAttempt& source, ErrorKind kind, std::string_view reason) override;
+  void OnAttemptStalled(RequestAttempt& source) override;
   void OnTimer(TimePoint now) override;
 
   /// Whether a stopping node may still pass on the request, which has just arrived.
@@ -57,23 +57,39 @@
   std::string_view ChooseInstance() const;
   /// Whether the request may be sent to an instance that it has not reached yet.
   bool MayTryNewInstance() const { return this->reached_instances.size() < this->route->attempts; }
-  /// Records that the request reached the instance of the current attempt.
-  void RecordReachedInstance();
+  /// Records that the request reached an instance.
+  void RecordReachedInstance(const std::string& name);
   /// Sends the request to an instance, or refuses it if there is none.
   void Send();
   wire::ExecutionRequest BuildRequest() const;
+  /// Handles the end of an attempt in which the executing node responded with an error.
+  void OnAttemptRefused(std::unique_ptr<RequestAttempt> ended, const wire::ExecutionReply& reply);
   /// Handles the end of an attempt without a response that can be forwarded.
   void OnAttemptFailed(ErrorKind kind, Duration retry_after, std::string_view reason);
   /// Returns whether a retry is allowed after `kind`, and prepares it.
   bool PrepareRetry(ErrorKind kind);
+  /// Returns whether another instance may run the request while the current attempt is stalled, and
+  /// prepares that.
+  bool PrepareHedge();
+  /// Makes the next attempt one that the service's retry budget must cover.
+  void RequireGrant();
+  void LogRepeat(ErrorKind kind) const;
   /// Requests a grant from another instance's share of the retry budget, after the share of the
   /// current instance did not cover the retry.
   void RequestGrant();
   /// Ends the request with the result of the previous attempt, because the retry was denied.
   void OnRetryDenied();
   /// Sends `message` to the node of an instance, as the current attempt.
-  void Execute(const UpstreamInstance& to, wire::ExecutionRequest message);
-  void EndAttempt(InstanceOutcome outcome);
+  void Execute(const UpstreamInstance& to,
+               wire::ExecutionRequest message,
+               RequestAttempt::Purpose purpose);
+  /// Takes an attempt that has ended out of the current or the stalled ones.
+  std::unique_ptr<RequestAttempt> TakeAttempt(RequestAttempt& ended);
+  bool HasAttempt() const { return this->attempt != nullptr || !this->stalled_attempts.empty(); }
+  /// Cancels all attempts; `outcome` is that of the current one.
+  void CancelAttempts(InstanceOutcome outcome);
+  /// Refuses the request, unless a stalled attempt may still succeed.
+  void RefuseOrWait(ErrorKind kind, Duration retry_after, std::string_view reason);
   void Respond(const wire::ExecutionReply& reply);
   void Refuse(ErrorKind kind, Duration retry_after, std::string_view reason);
   /// Logs that a request which may have run ends without an answer of its instance, and which
@@ -108,8 +124,6 @@
   /// Number of retries that the next instance's node must grant; 0 until an attempt has reached an
   /// instance.
   std::uint32_t retry_cost = 0;
-  /// Whether the current call only requests a grant.
-  bool awaiting_grant = false;
   /// Whether another instance's share of the retry budget covers the next attempt.
   bool granted_elsewhere = false;
   /// Result of the previous attempt, and the server's own reply if there was one.
@@ -120,13 +134,12 @@
   /// Keeps the request alive until it is finished.
   Ref<RoutedRequest> self;
 
-  /// Call id of the current attempt; 0 if there is none.
-  std::uint64_t call = 0;
+  std::unique_ptr<RequestAttempt> attempt;
+  /// Earlier attempts whose nodes are silent, while the request is repeated elsewhere. The first
+  /// answer of any attempt is used.
+  std::vector<std::unique_ptr<RequestAttempt>> stalled_attempts;
+  /// Instance of the attempt that was sent or has ended last.
   std::string instance;
-  /// Executes the current attempt: the local executor or `link`.
-  RequestExecutor* target = nullptr;
-  /// Keeps the connection alive while the request uses it; nullptr for the local instance.
-  Ref<PeerLink> link;
   /// Instances that the next attempt avoids.
   std::vector<std::string> excluded_instances;
   /// Instances that the request reached; their number is limited by the route's attempts.
--- a/sidecar/sidecar_node.cc
+++ b/sidecar/sidecar_node.cc
@@ -226,6 +226,10 @@
   this->balancer.OnNodeLeaving(instance);
 }
 
+void SidecarNode::OnPeerSilent(std::string_view instance, bool host_responds) {
+  this->balancer.OnNodeSilent(instance, host_responds);
+}
+
 void SidecarNode::OnPeerClosed(std::string_view instance) {
   this->balancer.OnNodeClosed(instance);
 }
--- a/sidecar/sidecar_node.h
+++ b/sidecar/sidecar_node.h
@@ -68,6 +68,7 @@
   void OnPeerLoad(std::string_view instance, const LoadReport& load) override;
   void OnPeerConfigurationVersion(std::uint64_t version) override;
   void OnPeerLeaving(std::string_view instance) override;
+  void OnPeerSilent(std::string_view instance, bool host_responds) override;
   void OnPeerClosed(std::string_view instance) override;
   void FillCatalog(const wire::CatalogRequest& request, wire::Catalog& catalog) const override;
   void ApplyCatalog(const wire::Catalog& catalog) override;
--- a/sidecar/silent_peer_test.cc
+++ b/sidecar/silent_peer_test.cc
@@ -110,6 +110,25 @@
   this->ExpectAnswer("first");
 }
 
+// Guards against a peer that is found silent after 0.5 s already, because another request was sent
+// to it while it was asked for a sign of life.
+TEST_F(SilentPeerTest, FurtherRequestsDoNotShortenTheWaitForAReply) {
+  this->Start(1);
+  this->SendToSilentPeer("read", "GET");
+  const std::size_t elsewhere = this->RequestCount(2);
+  this->fleet.RunFor(milliseconds(600));
+  std::vector<std::unique_ptr<RawCaller>> others;
+  for (int i = 0; i < 20; ++i) {
+    others.push_back(
+        std::make_unique<RawCaller>(this->fleet.Loop(), this->fleet.RequestAddress(0)));
+    others.back()->Send(TestFleet::MakeRequest("other-" + std::to_string(i), "write", "POST"));
+  }
+  this->fleet.RunFor(milliseconds(100));
+  ASSERT_GT(this->peer->Count(wire::PeerFrame::kRequest), 1U);
+  EXPECT_GT(this->RequestCount(2), elsewhere);
+  EXPECT_EQ(this->caller->ResponseCount(), 0) << "the first request was repeated after 0.6 s";
+}
+
 // Guards against the same at a node that is itself stopping.
 TEST_F(SilentPeerTest, RequestAtWorkGetsItsAnswerFromAStoppingNode) {
   this->Start();
