Complete requests on the link to the previous address of an instance

Callers got a 504 for requests in progress when the registry named another address for the instance: GetLink() closed the link to the previous one at the next request. The link is now replaced for new requests only, as after the removal of an entry; its requests end on it or with their deadlines.

RequestAtWorkGetsItsAnswerAfterAChangeOfAddress failed before (504, "connection closed by the local node") and passes.

--- a/sidecar/peer_link_pool.cc
+++ b/sidecar/peer_link_pool.cc
@@ -28,11 +28,7 @@
 Ref<PeerLink> PeerLinkPool::GetLink(const UpstreamInstance& instance) {
   const SocketAddress address{instance.address.ip, this->peer_port};
   Ref<PeerLink>& link = this->links[instance.name];
-  if (link != nullptr && !(link->Address() == address)) {
-    link->Close();
-    link.reset();
-  }
-  if (link != nullptr && link->IsStuck()) {
+  if (link != nullptr && (!(link->Address() == address) || link->IsStuck())) {
     Release(*link);
     link.reset();
   }
