Deliver answers to a node whose link was cut for a while

Callers of routes that are not idempotent got a 504 after a cut of 1.2 s between their node and that of the instance: the executing node closed the session, the request ran on, and its answer had no way back. It now ends only the idempotent requests, which run elsewhere by then, and tells the peer that they are lost. The connection ends when the kernel finds that the peer's host is gone.

AnswerForANodeThatWasCutOffIsDelivered failed before (no reply after the cut) and passes; WorkForANodeThatIsCutOffEnds holds.

--- a/sidecar/caller_disconnect_test.cc
+++ b/sidecar/caller_disconnect_test.cc
@@ -208,6 +208,41 @@
       seconds(2)));
 }
 
+// Guards against an answer that is lost because the link was cut for a while: a request that cannot
+// be repeated runs to its end, and its caller's node waits for it.
+TEST_F(CallerDisconnectTest, AnswerForANodeThatWasCutOffIsDelivered) {
+  std::vector<std::pair<Connection*, std::string>> held;
+  this->AddMachines([&](Connection& connection, const std::string& request) {
+    if (FieldOf(request, "Test-Id") == "large") {
+      connection.Send(TestFleet::MakeResponse(request, std::string(kLargeBodyBytes, 'x')));
+    } else {
+      held.emplace_back(&connection, request);
+    }
+  });
+  this->fleet.Start();
+  RawPeer peer(this->fleet.Loop(), this->fleet.At(1).settings.peer_address, "page", "front",
+               RawPeer::Reading::kNever);
+  peer.Send({RawPeer::MakeRequest(1, "write", false), RawPeer::MakeRequest(2, "read", true),
+             RawPeer::MakeRequest(3, "large", true)});
+  ASSERT_TRUE(this->fleet.RunUntil([&] { return this->RequestCount(1) == 3; }));
+  this->fleet.RunFor(milliseconds(1900));
+  ASSERT_EQ(held.size(), 2U);
+  for (const auto& [connection, request] : held) {
+    const bool write = FieldOf(request, "Test-Id") == "write";
+    EXPECT_EQ(connection->IsClosedByPeer(), !write);
+    if (write) {
+      connection->Send(TestFleet::MakeResponse(request));
+    }
+  }
+  peer.StartReading();
+  ASSERT_TRUE(this->fleet.RunUntil([&] { return peer.Count(wire::PeerFrame::kReply) == 3; }));
+  for (const wire::PeerFrame& frame : peer.Received()) {
+    if (frame.body_case() == wire::PeerFrame::kReply) {
+      EXPECT_EQ(frame.reply().status(), frame.reply().call() == 2 ? 0U : 200U);
+    }
+  }
+}
+
 // Guards against ending the work for callers whose node is only paused and will read the replies.
 TEST_F(CallerDisconnectTest, WorkForANodeThatIsPausedGoesOn) {
   this->StartWorkForASilentNode(0);
--- a/sidecar/peer_session.cc
+++ b/sidecar/peer_session.cc
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <utility>
+#include <vector>
 
 #include "sidecar/peer_protocol.h"
 #include "sidecar/tcp_connection_state.h"
@@ -62,25 +63,63 @@
 }
 
 void PeerSession::CheckPeer(TimePoint now) {
+  this->UpdateContact(now);
   const Duration silence = now - this->last_contact;
-  if (this->executions.empty() || !this->answers_receiver || silence < kSilenceBeforeKeepAlive) {
+  if (this->executions.empty() || !this->answers_receiver || silence < kSilenceBeforeKeepAlive ||
+      this->stream->HasUnreadBytes()) {
     return;
   }
   if (this->keep_alive_sent < this->last_contact) {
-    this->keep_alive_sent = now;
-    wire::PeerFrame frame;
-    frame.mutable_keep_alive();
-    this->stream->Send(frame);
+    this->SendKeepAlive(now);
+    return;
+  }
+  if (now - this->keep_alive_sent < kKeepAliveTimeout) {
     return;
   }
   // A host that acknowledges has a process that is paused and will read its replies.
-  if (now - this->keep_alive_sent < kKeepAliveTimeout || this->stream->UnacknowledgedBytes() == 0) {
+  if (this->stream->UnacknowledgedBytes() > 0 &&
+      this->stream->AcknowledgedBytes() == this->acknowledged_at_keep_alive) {
+    this->EndIdempotent(silence);
+  }
+  this->SendKeepAlive(now);
+}
+
+void PeerSession::UpdateContact(TimePoint now) {
+  if (this->stream->ReceivedBytes() != this->received_bytes) {
+    this->received_bytes = this->stream->ReceivedBytes();
+    this->last_contact = now;
+  }
+}
+
+void PeerSession::SendKeepAlive(TimePoint now) {
+  this->keep_alive_sent = now;
+  this->acknowledged_at_keep_alive = this->stream->AcknowledgedBytes();
+  wire::PeerFrame frame;
+  frame.mutable_keep_alive();
+  this->stream->Send(frame);
+}
+
+void PeerSession::EndIdempotent(Duration silence) {
+  std::vector<std::uint64_t> ended;
+  for (const auto& [peer_call_id, execution] : this->executions) {
+    if (execution->IsIdempotent()) {
+      ended.push_back(peer_call_id);
+    }
+  }
+  if (ended.empty()) {
     return;
   }
-  spdlog::info("event=peer_session_cut_off caller_service={} requests={} silent_ms={}",
-               this->caller_service, this->executions.size(),
+  spdlog::info("event=peer_session_cut_off caller_service={} requests={} ended={} silent_ms={}",
+               this->caller_service, this->executions.size(), ended.size(),
                std::chrono::duration_cast<std::chrono::milliseconds>(silence).count());
-  this->Close();
+  wire::ExecutionReply lost;
+  lost.set_error(static_cast<std::uint32_t>(ErrorKind::kPeerLost));
+  lost.set_reached_instance(true);
+  for (const std::uint64_t peer_call_id : ended) {
+    const auto found = this->executions.find(peer_call_id);
+    this->executor.Cancel(found->second->Call());
+    found->second->OnExecutionReply(lost);  // Removes the execution.
+  }
 }
 
 bool PeerSession::IsBusy() {
@@ -105,7 +144,7 @@
 
 void PeerSession::OnFrame(wire::PeerFrame& frame) {
   const Ref<PeerSession> keep(this);
-  this->last_contact = this->clock.Now();
+  this->UpdateContact(this->clock.Now());
   switch (frame.body_case()) {
     case wire::PeerFrame::kHello:
       if (frame.hello().protocol() != kPeerProtocolVersion) {
@@ -187,7 +226,7 @@
   this->catalog_store.OnPeerConfigurationVersion(request.configuration_version());
   const std::uint64_t peer_call_id = request.call();
   const std::uint64_t call = this->next_call_id++;
-  auto execution = std::make_unique<Execution>(*this, peer_call_id, call);
+  auto execution = std::make_unique<Execution>(*this, peer_call_id, call, request.idempotent());
   Execution& added = *execution;
   if (!this->executions.emplace(peer_call_id, std::move(execution)).second) {
     spdlog::warn("event=duplicate_call call={}", peer_call_id);
--- a/sidecar/peer_session.h
+++ b/sidecar/peer_session.h
@@ -44,8 +44,9 @@
   /// Queries the peer for its catalog, if this node needs it.
   void RequestCatalog();
 
-  /// Closes the connection if requests of the peer are in progress and its host has been cut off
-  /// for a while. Called periodically.
+  /// Ends the idempotent requests of the peer if its host has been cut off for a while: the peer
+  /// sends them elsewhere, and its callers may have left. The others go on, and their replies are
+  /// delivered if the cut ends. Called periodically.
   void CheckPeer(TimePoint now);
 
   /// Closes the connection. Requests of the peer that are still waiting are not run, and running
@@ -59,8 +60,8 @@
   /// One request of the peer.
   class Execution : public ExecutionObserver, private TimerSubscriber {
    public:
-    Execution(PeerSession& session, std::uint64_t peer_call_id, std::uint64_t call)
-        : session(session), peer_call_id(peer_call_id), call(call) {}
+    Execution(PeerSession& session, std::uint64_t peer_call_id, std::uint64_t call, bool idempotent)
+        : session(session), peer_call_id(peer_call_id), call(call), idempotent(idempotent) {}
 
     /// Passes the request to the executor.
     void Start(wire::ExecutionRequest request);
@@ -75,6 +76,7 @@
     void OnExecutionStalled() override {}
 
     std::uint64_t Call() const { return this->call; }
+    bool IsIdempotent() const { return this->idempotent; }
 
    private:
     void OnTimer(TimePoint now) override;
@@ -83,6 +85,7 @@
     /// Id of the call at the peer, and at the local executor.
     const std::uint64_t peer_call_id;
     const std::uint64_t call;
+    const bool idempotent;
     /// The request, while it waits for the confirmation.
     std::unique_ptr<wire::ExecutionRequest> unconfirmed;
     TimePoint asked_at{};
@@ -90,6 +93,11 @@
 
   void OnFrame(wire::PeerFrame& frame) override;
   void OnStreamClosed(std::string_view reason) override;
+  /// Updates the time of the last contact if bytes have arrived, also those of an incomplete frame.
+  void UpdateContact(TimePoint now);
+  void SendKeepAlive(TimePoint now);
+  /// Ends the idempotent requests in progress, as lost.
+  void EndIdempotent(Duration silence);
   void OnRequest(wire::ExecutionRequest& request);
   /// Returns whether the request may have been under way for so long that its caller has left
   /// meanwhile. If so, reduces its remaining time as far as that is known.
@@ -107,9 +115,12 @@
   bool service_matches = false;
   bool answers_receiver = false;
   Ref<FrameStream> stream;
-  /// When the last frame arrived, and when a keep-alive was sent because none had arrived.
+  /// When bytes arrived last, and when a keep-alive was sent because none had arrived.
   TimePoint last_contact;
   TimePoint keep_alive_sent{};
+  /// Bytes received at the last check, and acknowledged when the last keep-alive was sent.
+  std::uint64_t received_bytes = 0;
+  std::uint64_t acknowledged_at_keep_alive = 0;
   TimePoint replied_at{};
   /// Keyed by the peer's call id.
   std::map<std::uint64_t, std::unique_ptr<Execution>> executions;
