Test all orders of two stops

For each distance of two stops from -6 to 6 s, with runs that take up to twice as long as the ones before, no request that a stopping node accepts from another one is at work at its exit.

--- a/masticpin/admission/stop_schedule_test.cc
+++ b/masticpin/admission/stop_schedule_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <vector>
 
 namespace masticpin {
@@ -75,6 +76,45 @@
   }
 }
 
+// Guards against an order of two stops that cuts off requests: the caller's node and the executing
+// node stop at any distance, and callers send requests of all lengths all the time. Runs take up to
+// twice as long as those before the stop.
+TEST(StopScheduleTest, NoOrderOfTwoStopsCutsRequestsAtTheExecutingNode) {
+  constexpr milliseconds kStep{100};
+  int accepted = 0;
+  for (milliseconds offset{-6000}; offset <= seconds(6); offset += kStep) {
+    StopSchedule front;
+    StopSchedule executing;
+    for (TimePoint now = kBegin - seconds(8); now < kBegin + seconds(12); now += kStep) {
+      if (now >= kBegin && !front.IsStopping()) {
+        front.Begin(kBegin);
+      }
+      if (now >= kBegin + offset && !executing.IsStopping()) {
+        executing.Begin(kBegin + offset);
+      }
+      if (front.MustExit(now)) {
+        break;
+      }
+      for (const Duration run : {milliseconds(200), milliseconds(1000), milliseconds(5000)}) {
+        for (const Duration time_limit :
+             {milliseconds(800), milliseconds(2000), milliseconds(6000)}) {
+          const TimePoint deadline = now + time_limit;
+          if (!front.AcceptsRequest(now, deadline) ||
+              !executing.AcceptsExecution(now, deadline, run)) {
+            continue;
+          }
+          ++accepted;
+          const TimePoint end = std::min(now + 2 * run, deadline);
+          // Requests that arrive before either node stops are not refused, and may be cut.
+          const bool before_stop = now < kBegin + offset;
+          EXPECT_TRUE(before_stop || !executing.MustExit(end)) << offset.count();
+        }
+      }
+    }
+  }
+  EXPECT_GT(accepted, 10000);
+}
+
 // Guards against a stopping node that refuses what it can run in any case, or runs what nothing is
 // known of.
 TEST(StopScheduleTest, ExecutionsWithoutKnownRunTimesAreJudgedByTheirDeadlines) {
