Keep using a stopping node for the requests that it accepts

A service with one instance was out of use at once. An inner call is accepted if the service has no other instance, because its parent would fail for certain. RecentMaximum kept a value for up to one and a half windows if it was asked rarely.

--- a/masticpin/admission/recent_maximum.cc
+++ b/masticpin/admission/recent_maximum.cc
@@ -21,9 +21,10 @@
   if (age < this->half_window) {
     return;
   }
-  this->halves[1] = age < 2 * this->half_window ? this->halves[0] : std::nullopt;
+  const bool next_half = age < 2 * this->half_window;
+  this->halves[1] = next_half ? this->halves[0] : std::nullopt;
   this->halves[0].reset();
-  this->half_start = this->clock.Now();
+  this->half_start = next_half ? this->half_start + this->half_window : this->clock.Now();
 }
 
 }  // namespace masticpin
--- a/sidecar/local_executor.cc
+++ b/sidecar/local_executor.cc
@@ -120,8 +120,14 @@
 
 bool LocalExecutor::RefusesForStop(const wire::ExecutionRequest& request) {
   const TimePoint now = this->clock.Now();
-  return this->RefusesAll() ||
-         !this->stop.AcceptsExecution(now, now + std::chrono::microseconds(request.remaining_us()),
+  if (this->RefusesAll()) {
+    return true;
+  }
+  // Without another instance, the request that made an inner call would certainly fail.
+  if (request.inner() && this->instance_count <= 1) {
+    return false;
+  }
+  return !this->stop.AcceptsExecution(now, now + std::chrono::microseconds(request.remaining_us()),
                                       this->run_times.Get());
 }
 
--- a/sidecar/routed_request.cc
+++ b/sidecar/routed_request.cc
@@ -304,7 +304,8 @@
     outcome = InstanceOutcome::kFailed;
   }
   ended->End(outcome);
-  if (kind == ErrorKind::kDraining) {
+  // A stopping node that has a limit refuses only requests that would not end in time.
+  if (kind == ErrorKind::kDraining && reply.load().limit() == 0) {
     this->router.balancer.OnNodeLeaving(ended->Instance());
   }
   this->may_have_run |= !IsNotRun(kind);
--- a/sidecar/sidecar_stop_test.cc
+++ b/sidecar/sidecar_stop_test.cc
@@ -209,6 +209,20 @@
   }
 }
 
+// Guards against a stopping node that gets no requests any more because it refused one that would
+// not have ended before its exit.
+TEST_F(SidecarStopTest, RefusedLongRequestDoesNotKeepShortOnesAway) {
+  this->fleet.AddMachine("front", RespondToAll);
+  this->fleet.AddMachine("page", RespondToAll);
+  this->fleet.AddRoute("long", "page", true).timeout = seconds(10);
+  this->fleet.AddRoute("short", "page", true).timeout = seconds(1);
+  this->fleet.Start();
+  this->fleet.RunFor(milliseconds(50));
+  this->fleet.At(1).node->Stop();
+  EXPECT_EQ(StatusOf(this->SendRequest(TestFleet::MakeRequest("1", "long"))), 503);
+  EXPECT_EQ(StatusOf(this->SendRequest(TestFleet::MakeRequest("2", "short"))), 200);
+}
+
 // Guards against a process that exits between two chunks of a body.
 TEST_F(SidecarStopTest, RequestThatIsReadInPartIsAnswered) {
   this->fleet.AddMachine("page", RespondToAll);
