Pass on the failure of a server if the repeat ends without an answer

Found by review: the reply of a stalled attempt with a server's own failure was dropped while the repeat ran, and the caller got a 502 or 504 of the node's own when that broke or ran out of time. The reply is kept, and used when no other attempt is left, also after an ordinary repeat. A stalled attempt that has ended is counted once against the attempts of the route.

--- a/sidecar/routed_request.cc
+++ b/sidecar/routed_request.cc
@@ -215,6 +215,8 @@
   assert(found != this->stalled_attempts.end());
   std::unique_ptr<RequestAttempt> taken = std::move(*found);
   this->stalled_attempts.erase(found);
+  // PrepareHedge() counted it; its end without an answer is counted like that of any attempt.
+  --this->runs;
   return taken;
 }
 
@@ -284,7 +286,10 @@
   ended->End(server_failure ? InstanceOutcome::kFailed : InstanceOutcome::kGood);
   this->may_have_run = true;
   if (server_failure && this->attempt != nullptr) {
-    return;  // The request is already repeated elsewhere.
+    // The request is already repeated elsewhere.
+    this->last_reply = std::make_unique<wire::ExecutionReply>(reply);
+    ++this->runs;
+    return;
   }
   this->instance = ended->Instance();
   if (server_failure && this->route->idempotent && this->PrepareRetry(ErrorKind::kUpstreamBroken)) {
@@ -310,7 +315,9 @@
   }
   this->may_have_run |= !IsNotRun(kind);
   if (this->attempt != nullptr) {
-    return;  // A stalled attempt has ended; the request is already repeated elsewhere.
+    // A stalled attempt has ended; the request is already repeated elsewhere.
+    this->runs += IsNotRun(kind) ? 0 : 1;
+    return;
   }
   this->instance = ended->Instance();
   if (kind == ErrorKind::kAttemptsExhausted) {
@@ -333,7 +340,9 @@
     this->may_have_run = true;
   }
   if (this->attempt != nullptr) {
-    return;  // A stalled attempt has ended; the request is already repeated elsewhere.
+    // A stalled attempt has ended; the request is already repeated elsewhere.
+    this->runs += IsNotRun(kind) ? 0 : 1;
+    return;
   }
   this->instance = ended->Instance();
   this->OnAttemptFailed(kind, Duration::zero(), reason);
@@ -391,17 +400,19 @@
 }
 
 void RoutedRequest::OnRetryDenied() {
-  if (this->last_reply != nullptr) {
-    this->Respond(*this->last_reply);
-    return;
-  }
   this->RefuseOrWait(this->last_error, this->last_retry_after, "retry budget is used up");
 }
 
 void RoutedRequest::RefuseOrWait(ErrorKind kind, Duration retry_after, std::string_view reason) {
-  if (this->stalled_attempts.empty()) {
-    this->Refuse(kind, retry_after, reason);
+  if (!this->stalled_attempts.empty()) {
+    return;
   }
+  if (this->last_reply != nullptr) {
+    // A failure of the server's own tells the caller more than one of this node.
+    this->Respond(*this->last_reply);
+    return;
+  }
+  this->Refuse(kind, retry_after, reason);
 }
 
 bool RoutedRequest::PrepareHedge() {
@@ -614,6 +625,10 @@
   const Ref<RoutedRequest> keep(this);
   this->may_have_run |= this->attempt != nullptr && !this->attempt->IsGrantRequest();
   this->CancelAttempts(InstanceOutcome::kFailed);
+  if (this->last_reply != nullptr) {
+    this->Respond(*this->last_reply);
+    return;
+  }
   this->Refuse(this->may_have_run ? ErrorKind::kDeadlineExceeded : ErrorKind::kExpiredBeforeStart,
                Duration::zero(), "deadline reached");
 }
--- a/sidecar/routed_request.h
+++ b/sidecar/routed_request.h
@@ -88,7 +88,7 @@
   bool HasAttempt() const { return this->attempt != nullptr || !this->stalled_attempts.empty(); }
   /// Cancels all attempts; `outcome` is that of the current one.
   void CancelAttempts(InstanceOutcome outcome);
-  /// Refuses the request, unless a stalled attempt may still succeed.
+  /// Ends the request after its last attempt failed, unless a stalled attempt may still succeed.
   void RefuseOrWait(ErrorKind kind, Duration retry_after, std::string_view reason);
   void Respond(const wire::ExecutionReply& reply);
   void Refuse(ErrorKind kind, Duration retry_after, std::string_view reason);
