Stop reports of links that were replaced

Found by review: a link to a previous address, or a stuck one, went on to report under the name of its instance. If it was silent when its last request ended, the load balancer avoided the instance although another link worked. A replaced link now reports nothing, and its silence is forgotten when it is replaced; the link to a previous address is replaced when the address is known and not only at the next request. Requests of a lost connection can be cancelled while the others are notified.

--- a/sidecar/peer_link.cc
+++ b/sidecar/peer_link.cc
@@ -90,6 +90,7 @@
 }
 
 void PeerLink::Cancel(std::uint64_t call) {
+  this->lost_calls.erase(call);
   if (this->calls.erase(call) == 0) {
     return;
   }
@@ -112,6 +113,11 @@
   this->Fail(ErrorKind::kPeerLost, "connection closed by the local node");
 }
 
+void PeerLink::Retire() {
+  this->retired = true;
+  this->observer.OnPeerClosed(this->instance);
+}
+
 void PeerLink::Connect() {
   this->state = State::kConnecting;
   this->timers.Schedule(*this, this->clock.Now() + kConnectTimeout);
@@ -158,7 +164,7 @@
   switch (frame.body_case()) {
     case wire::PeerFrame::kReply: {
       const wire::ExecutionReply& reply = frame.reply();
-      this->observer.OnPeerLoad(this->instance, DecodeLoadReport(reply.load()));
+      this->ReportLoad(reply.load());
       this->observer.OnPeerConfigurationVersion(reply.configuration_version());
       const auto found = this->calls.find(reply.call());
       if (found != this->calls.end()) {
@@ -169,7 +175,7 @@
       break;
     }
     case wire::PeerFrame::kKeepAliveReply:
-      this->observer.OnPeerLoad(this->instance, DecodeLoadReport(frame.keep_alive_reply().load()));
+      this->ReportLoad(frame.keep_alive_reply().load());
       this->observer.OnPeerConfigurationVersion(frame.keep_alive_reply().configuration_version());
       break;
     case wire::PeerFrame::kCatalogRequest: {
@@ -188,7 +194,9 @@
       break;
     }
     case wire::PeerFrame::kLeaving:
-      this->observer.OnPeerLeaving(this->instance);
+      if (!this->retired) {
+        this->observer.OnPeerLeaving(this->instance);
+      }
       break;
     default:
       spdlog::warn("event=unexpected_frame peer={} frame={}", this->instance,
@@ -317,7 +325,15 @@
       this->instance, this->address.ToString(), this->calls.size(),
       std::chrono::duration_cast<std::chrono::milliseconds>(now - this->last_contact).count(),
       this->stream->UnacknowledgedBytes(), this->host_responds);
-  this->observer.OnPeerSilent(this->instance, this->host_responds);
+  if (!this->retired) {
+    this->observer.OnPeerSilent(this->instance, this->host_responds);
+  }
+}
+
+void PeerLink::ReportLoad(const wire::LoadReport& load) {
+  if (!this->retired) {
+    this->observer.OnPeerLoad(this->instance, DecodeLoadReport(load));
+  }
 }
 
 void PeerLink::Fail(ErrorKind kind, std::string_view reason) {
@@ -344,13 +360,16 @@
     this->stream->Abort();
     this->stream.reset();
   }
-  this->observer.OnPeerClosed(this->instance);
-  // An observer may start a new request, which opens the connection again.
-  std::map<std::uint64_t, Call> lost;
-  lost.swap(this->calls);
-  while (!lost.empty()) {
-    ExecutionObserver* const finished_observer = lost.begin()->second.observer;
-    lost.erase(lost.begin());
+  if (!this->retired) {
+    this->observer.OnPeerClosed(this->instance);
+  }
+  // An observer may start a new request, which opens the connection again, or cancel another one.
+  this->lost_calls.merge(this->calls);
+  this->calls.clear();
+  while (!this->lost_calls.empty()) {
+    const auto first = this->lost_calls.begin();
+    ExecutionObserver* const finished_observer = first->second.observer;
+    this->lost_calls.erase(first);
     finished_observer->OnExecutionLost(kind, text);
   }
 }
--- a/sidecar/peer_link.h
+++ b/sidecar/peer_link.h
@@ -49,6 +49,10 @@
   const SocketAddress& Address() const { return this->address; }
   bool HasRequests() const { return !this->calls.empty(); }
 
+  /// Stops reports about the peer, because another link to it takes new requests. Those in progress
+  /// are completed.
+  void Retire();
+
   /// Whether the peer is silent and its host acknowledges nothing. Another connection may work.
   bool IsStuck() const { return this->silent && !this->host_responds; }
 
@@ -73,10 +77,11 @@
   void SendKeepAlive(TimePoint now);
   /// Updates the time of the last contact if bytes have arrived, also those of an incomplete frame.
   void UpdateContact(TimePoint now);
-  /// Called when the peer has not replied to a keep-alive in time. Reports that the first time, and
-  /// to the observer of each request.
+  /// Called when the peer has not replied to a keep-alive in time. Reports that to the observer of
+  /// each request, each time: it may depend on other instances what can be done.
   void OnSilence(TimePoint now);
   void ReportSilence(TimePoint now);
+  void ReportLoad(const wire::LoadReport& load);
   /// Closes the connection and fails all requests on it with `kind`.
   void Fail(ErrorKind kind, std::string_view reason);
 
@@ -96,6 +101,9 @@
   /// Requests that wait for the connection to be established.
   std::vector<wire::PeerFrame> waiting;
   std::map<std::uint64_t, Call> calls;
+  /// Requests of a closed connection whose observers are not notified yet.
+  std::map<std::uint64_t, Call> lost_calls;
+  bool retired = false;
   TimePoint last_contact{};
   TimePoint last_sent{};
   /// When the last request in progress was cancelled.
--- a/sidecar/peer_link_pool.cc
+++ b/sidecar/peer_link_pool.cc
@@ -28,7 +28,7 @@
 Ref<PeerLink> PeerLinkPool::GetLink(const UpstreamInstance& instance) {
   const SocketAddress address{instance.address.ip, this->peer_port};
   Ref<PeerLink>& link = this->links[instance.name];
-  if (link != nullptr && (!(link->Address() == address) || link->IsStuck())) {
+  if (link != nullptr && link->IsStuck()) {
     Release(*link);
     link.reset();
   }
@@ -40,7 +40,13 @@
   return link;
 }
 
-void PeerLinkPool::OnInstanceUpdated(const UpstreamInstance&) {}
+void PeerLinkPool::OnInstanceUpdated(const UpstreamInstance& instance) {
+  const auto found = this->links.find(instance.name);
+  if (found != this->links.end() && found->second->Address().ip != instance.address.ip) {
+    Release(*found->second);
+    this->links.erase(found);
+  }
+}
 
 void PeerLinkPool::OnInstanceRemoved(std::string_view name) {
   const auto found = this->links.find(std::string(name));
@@ -52,7 +58,9 @@
 }
 
 void PeerLinkPool::Release(PeerLink& link) {
-  if (!link.HasRequests()) {
+  if (link.HasRequests()) {
+    link.Retire();
+  } else {
     link.Close();
   }
 }
--- a/sidecar/peer_link_pool.h
+++ b/sidecar/peer_link_pool.h
@@ -31,16 +31,16 @@
   ~PeerLinkPool() override;
 
   /// Returns the connection to the node of an instance, and creates it if there is none. A
-  /// connection that is stuck or goes to a previous address of the node is replaced; its requests
-  /// in progress are completed on it.
+  /// connection that is stuck is replaced; its requests in progress are completed on it.
   Ref<PeerLink> GetLink(const UpstreamInstance& instance);
 
+  /// Releases the connection to a previous address of the node.
   void OnInstanceUpdated(const UpstreamInstance& instance) override;
   void OnInstanceRemoved(std::string_view name) override;
 
  private:
   /// Closes the connection if no request is in progress on it. Otherwise the requests keep it until
-  /// they end.
+  /// they end, and it reports nothing more about the peer.
   static void Release(PeerLink& link);
 
   boost::asio::io_context& loop;
--- a/sidecar/silent_peer_test.cc
+++ b/sidecar/silent_peer_test.cc
@@ -221,5 +221,84 @@
   this->ExpectAnswer("first");
 }
 
+// Guards against a 504 for requests at work because the receive buffer of a paused peer is full:
+// the kernel does not tell that from a host which is gone.
+TEST_F(SilentPeerTest, RequestsAtWorkGetTheirAnswersIfThePeersBufferIsFull) {
+  this->fleet.limits.max_body_bytes = std::size_t{16} << 20;
+  this->Start();
+  std::vector<std::unique_ptr<RawCaller>> uploads;
+  for (int i = 0; i < 8; ++i) {
+    uploads.push_back(
+        std::make_unique<RawCaller>(this->fleet.Loop(), this->fleet.RequestAddress(0)));
+    uploads.back()->Send(TestFleet::MakeRequest("up" + std::to_string(i), "write", "POST", "",
+                                                std::string(std::size_t{1} << 20, 'x')));
+    this->fleet.RunFor(milliseconds(20));
+  }
+  boost::asio::ip::tcp::socket socket = this->acceptor->accept();
+  this->fleet.RunFor(milliseconds(3300));
+  this->peer = std::make_unique<RawPeer>(std::move(socket));
+  ASSERT_TRUE(this->fleet.RunUntil(
+      [&] { return this->peer->Count(wire::PeerFrame::kRequest) == uploads.size(); }));
+  for (const wire::PeerFrame& frame : this->peer->Received()) {
+    if (frame.body_case() == wire::PeerFrame::kRequest) {
+      this->Answer(frame.request().call());
+    }
+  }
+  for (const auto& upload : uploads) {
+    ASSERT_TRUE(this->fleet.RunUntil([&] { return upload->ResponseCount() == 1; }, seconds(1)));
+    EXPECT_EQ(StatusOf(upload->Received()), 200);
+  }
+}
+
+// Guards against an instance that gets no requests any more, because the link to its previous
+// address was silent when the last request on it ended.
+TEST_F(SilentPeerTest, InstanceIsUsedAfterTheLinkToItsPreviousAddressWasSilent) {
+  this->time_limit = milliseconds(2500);
+  this->Start(1);
+  this->SendToSilentPeer("write", "POST");
+  UpstreamInstance moved = this->fleet.At(1).entry;
+  moved.address.ip = "127.0.0.99";
+  moved.revision += 100;
+  moved.listed_revision += 100;
+  this->fleet.At(0).deployment->observer->OnInstanceEntry(moved);
+  // Nobody listens at the new address yet; some of these try it and replace the link.
+  for (int i = 0; i < 20; ++i) {
+    this->SendRequest(TestFleet::MakeRequest("n" + std::to_string(i), "write", "POST"));
+    this->fleet.RunFor(milliseconds(20));
+  }
+  ASSERT_TRUE(this->fleet.RunUntil([&] { return this->caller->ResponseCount() == 1; }, seconds(4)));
+  boost::asio::ip::tcp::acceptor moved_acceptor(this->fleet.Loop());
+  SocketAddress address = this->fleet.At(1).settings.peer_address;
+  address.ip = moved.address.ip;
+  ASSERT_EQ(OpenAcceptor(moved_acceptor, address, 64), "");
+  bool connected = false;
+  boost::asio::ip::tcp::socket socket(this->fleet.Loop());
+  moved_acceptor.async_accept(socket,
+                              [&](const boost::system::error_code& error) { connected = !error; });
+  for (int i = 0; i < 200 && !connected; ++i) {
+    RawCaller other(this->fleet.Loop(), this->fleet.RequestAddress(0));
+    other.Send(TestFleet::MakeRequest("m" + std::to_string(i), "read"));
+    this->fleet.RunFor(milliseconds(20));
+    other.Close();
+  }
+  EXPECT_TRUE(connected);
+}
+
+// Guards against an answer of the node's own in place of one of a server: the failure of the first
+// instance arrives while the repeat is in progress, and the repeat breaks.
+TEST_F(SilentPeerTest, FailureOfTheFirstInstanceIsPassedOnIfTheRepeatBreaks) {
+  this->Start(1);
+  this->SendToSilentPeer("read", "GET");
+  this->held.clear();
+  this->hold = true;
+  ASSERT_TRUE(this->fleet.RunUntil([&] { return this->held.size() == 1; }));
+  this->Answer(std::nullopt, 500);
+  this->fleet.RunFor(milliseconds(100));
+  this->held[0].first->Reset();
+  ASSERT_TRUE(this->fleet.RunUntil([&] { return this->caller->ResponseCount() == 1; }));
+  EXPECT_EQ(StatusOf(this->caller->Received()), 500);
+  EXPECT_EQ(FieldOf(this->caller->Received(), "Test-Seal"), "seal");
+}
+
 }  // namespace
 }  // namespace masticpin
