Tell a peer with a full receive buffer from a host that is gone

Found by review: TCP_USER_TIMEOUT also ends a connection whose receive window is closed, although the remote host answers every probe. A peer whose process was paused while uploads filled its buffer was lost after 2.5 to 3 s with all requests on the link, and so was a caller's node that read large answers late. A server that leaves a long body unread while it works lost its connection.

Links have no such timeout any more. The nodes decide themselves: a host that has acknowledged all segments responds; one that has not for 2.5 s is given up. Connections to the instance keep the timeout for requests of up to 32 KB, which fit in a receive buffer. A stopping node waits for a reply to a peer as long as bytes are acknowledged. Executions that wait for the instance are left to end by themselves when the link is cut.

WorkForANodeThatIsCutOffEnds played the cut by a peer that reads nothing, which is a pause and not a cut; it now drops all packets at the peer's socket, with the same bound of 2 s. The case that it played is WorkForANodeWhoseReceiveBufferIsFullGoesOn.

--- a/sidecar/caller_disconnect_test.cc
+++ b/sidecar/caller_disconnect_test.cc
@@ -37,9 +37,11 @@
   /// Lets a node that reads nothing send two requests: one with a response of `bytes`, and one that
   /// the instance works on.
   void StartWorkForASilentNode(std::size_t bytes) {
-    this->AddMachines([bytes](Connection& connection, const std::string& request) {
+    this->AddMachines([this, bytes](Connection& connection, const std::string& request) {
       if (FieldOf(request, "Test-Id") == "large") {
         connection.Send(TestFleet::MakeResponse(request, std::string(bytes, 'x')));
+      } else {
+        this->working = connection.shared_from_this();
       }
     });
     this->fleet.Start();
@@ -51,6 +53,7 @@
     ASSERT_TRUE(this->fleet.RunUntil([&] { return this->RequestCount(1) == 2; }));
   }
 
+  std::shared_ptr<Connection> working;
   std::unique_ptr<RawPeer> peer;
 
   /// Sends `count` requests of 4 KB on one connection to an instance that does not respond, closes
@@ -202,10 +205,9 @@
 // Guards against work for the callers of a node that is cut off: their cancel frames cannot arrive,
 // and the node has given up the link itself after 1.2 s.
 TEST_F(CallerDisconnectTest, WorkForANodeThatIsCutOffEnds) {
-  this->StartWorkForASilentNode(kLargeBodyBytes);
-  EXPECT_TRUE(this->fleet.RunUntil(
-      [&] { return this->fleet.At(1).upstream->Connections().back()->IsClosedByPeer(); },
-      seconds(2)));
+  this->StartWorkForASilentNode(0);
+  this->peer->CutOff();
+  EXPECT_TRUE(this->fleet.RunUntil([&] { return this->working->IsClosedByPeer(); }, seconds(2)));
 }
 
 // Guards against an answer that is lost because the link was cut for a while: a request that cannot
@@ -213,20 +215,14 @@
 TEST_F(CallerDisconnectTest, AnswerForANodeThatWasCutOffIsDelivered) {
   std::vector<std::pair<Connection*, std::string>> held;
   this->AddMachines([&](Connection& connection, const std::string& request) {
-    if (FieldOf(request, "Test-Id") == "large") {
-      connection.Send(TestFleet::MakeResponse(request, std::string(kLargeBodyBytes, 'x')));
-    } else {
-      held.emplace_back(&connection, request);
-    }
+    held.emplace_back(&connection, request);
   });
   this->fleet.Start();
-  RawPeer peer(this->fleet.Loop(), this->fleet.At(1).settings.peer_address, "page", "front",
-               RawPeer::Reading::kNever);
-  peer.Send({RawPeer::MakeRequest(1, "write", false), RawPeer::MakeRequest(2, "read", true),
-             RawPeer::MakeRequest(3, "large", true)});
-  ASSERT_TRUE(this->fleet.RunUntil([&] { return this->RequestCount(1) == 3; }));
-  this->fleet.RunFor(milliseconds(1900));
-  ASSERT_EQ(held.size(), 2U);
+  RawPeer peer(this->fleet.Loop(), this->fleet.At(1).settings.peer_address, "page", "front");
+  peer.Send({RawPeer::MakeRequest(1, "write", false), RawPeer::MakeRequest(2, "read", true)});
+  ASSERT_TRUE(this->fleet.RunUntil([&] { return held.size() == 2; }));
+  peer.CutOff();
+  this->fleet.RunFor(milliseconds(2000));
   for (const auto& [connection, request] : held) {
     const bool write = FieldOf(request, "Test-Id") == "write";
     EXPECT_EQ(connection->IsClosedByPeer(), !write);
@@ -234,8 +230,8 @@
       connection->Send(TestFleet::MakeResponse(request));
     }
   }
-  peer.StartReading();
-  ASSERT_TRUE(this->fleet.RunUntil([&] { return peer.Count(wire::PeerFrame::kReply) == 3; }));
+  peer.Restore();
+  ASSERT_TRUE(this->fleet.RunUntil([&] { return peer.Count(wire::PeerFrame::kReply) == 2; }));
   for (const wire::PeerFrame& frame : peer.Received()) {
     if (frame.body_case() == wire::PeerFrame::kReply) {
       EXPECT_EQ(frame.reply().status(), frame.reply().call() == 2 ? 0U : 200U);
@@ -243,11 +239,29 @@
   }
 }
 
+// Guards against a connection that is kept for a host that is gone.
+TEST_F(CallerDisconnectTest, SessionOfANodeThatIsCutOffIsClosed) {
+  this->StartWorkForASilentNode(0);
+  this->peer->CutOff();
+  this->fleet.RunFor(seconds(4));
+  this->peer->Restore();
+  this->peer->StartReading();
+  EXPECT_TRUE(this->fleet.RunUntil([&] { return this->peer->IsClosedByPeer(); }));
+}
+
 // Guards against ending the work for callers whose node is only paused and will read the replies.
 TEST_F(CallerDisconnectTest, WorkForANodeThatIsPausedGoesOn) {
   this->StartWorkForASilentNode(0);
   this->fleet.RunFor(seconds(2));
-  EXPECT_FALSE(this->fleet.At(1).upstream->Connections().back()->IsClosedByPeer());
+  EXPECT_FALSE(this->working->IsClosedByPeer());
+}
+
+// Guards against the same when the paused node's receive buffer is full: its host goes on
+// answering, although it acknowledges no further bytes.
+TEST_F(CallerDisconnectTest, WorkForANodeWhoseReceiveBufferIsFullGoesOn) {
+  this->StartWorkForASilentNode(kLargeBodyBytes);
+  this->fleet.RunFor(seconds(3));
+  EXPECT_FALSE(this->working->IsClosedByPeer());
 }
 
 // Guards against a request that the kernel still delivers to another node after its caller has
--- a/sidecar/frame_stream.cc
+++ b/sidecar/frame_stream.cc
@@ -4,6 +4,7 @@
 #include <google/protobuf/io/zero_copy_stream_impl_lite.h>
 #include <google/protobuf/util/delimited_message_util.h>
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <utility>
@@ -60,7 +61,18 @@
 }
 
 std::uint64_t FrameStream::AcknowledgedBytes() {
-  return this->written_bytes + this->written_of_output - this->UnacknowledgedBytes();
+  // A write that the kernel has accepted is counted here only when its handler runs.
+  const std::uint64_t handed = this->written_bytes + this->written_of_output;
+  const std::uint64_t unacknowledged = this->UnacknowledgedBytes();
+  if (handed > unacknowledged) {
+    this->acknowledged_bytes = std::max(this->acknowledged_bytes, handed - unacknowledged);
+  }
+  return this->acknowledged_bytes;
+}
+
+bool FrameStream::HostResponds(std::uint64_t before) {
+  return this->UnacknowledgedBytes() == 0 || this->AcknowledgedBytes() > before ||
+         HasAcknowledgedAllSegments(this->socket).value_or(false);
 }
 
 bool FrameStream::HasUnreadBytes() const {
--- a/sidecar/frame_stream.h
+++ b/sidecar/frame_stream.h
@@ -43,6 +43,10 @@
   /// Number of bytes since the start that the peer's host has acknowledged.
   std::uint64_t AcknowledgedBytes();
 
+  /// Whether the peer's host has answered for the connection since it had acknowledged `before`
+  /// bytes, also if the peer's process reads nothing.
+  bool HostResponds(std::uint64_t before);
+
   /// Number of bytes received since the start, including those of incomplete frames.
   std::uint64_t ReceivedBytes() const { return this->received_bytes; }
 
@@ -69,6 +73,8 @@
   std::uint64_t written_bytes = 0;
   std::size_t written_of_output = 0;
   std::uint64_t received_bytes = 0;
+  /// Maximum of the acknowledged bytes seen so far.
+  std::uint64_t acknowledged_bytes = 0;
 };
 
 }  // namespace masticpin
--- a/sidecar/http_client_connection.cc
+++ b/sidecar/http_client_connection.cc
@@ -37,6 +37,12 @@
 
 constexpr unsigned kSwitchingProtocols = 101;
 
+/// Time after which a connection is given up whose server's host acknowledges nothing, and the size
+/// up to which a request fits in its receive buffer. A server may leave a longer one unread while
+/// it works, which the kernel does not tell from a host that is gone; the deadline ends these.
+constexpr Duration kMaxWriteTime = std::chrono::milliseconds(2500);
+constexpr std::size_t kMaxUnreadMessageBytes = std::size_t{32} << 10;
+
 std::size_t HashId(std::string_view id) {
   return std::hash<std::string_view>()(id);
 }
@@ -109,6 +115,7 @@
   this->discarded_responses = 0;
   this->received_bytes = 0;
   this->StartParser();
+  this->SetWriteTimeout();
   this->writing = true;
   boost::asio::async_write(
       this->socket, boost::asio::buffer(this->call.message),
@@ -117,6 +124,14 @@
   this->Read();
 }
 
+void HttpClientConnection::SetWriteTimeout() {
+  const bool limited = this->call.message.size() <= kMaxUnreadMessageBytes;
+  if (limited != this->write_time_limited) {
+    this->write_time_limited = limited;
+    SetUserTimeout(this->socket, limited ? kMaxWriteTime : Duration::zero());
+  }
+}
+
 void HttpClientConnection::StartParser() {
   this->parser.emplace();
   this->parser->eager(true);
--- a/sidecar/http_client_connection.h
+++ b/sidecar/http_client_connection.h
@@ -78,6 +78,8 @@
 
   void OnTimer(TimePoint now) override;
   void StartCall();
+  /// Limits the time in which the server's host must acknowledge the request.
+  void SetWriteTimeout();
   void StartParser();
   /// Returns why the bytes received so far cannot become a valid response, or an empty view.
   std::string_view FindViolation();
@@ -104,6 +106,7 @@
   HttpCallObserver* observer = nullptr;
   bool connecting = false;
   bool writing = false;
+  bool write_time_limited = false;
   bool reading = false;
   bool closed = false;
   /// Whether a response to another request arrived; if so, the connection is not reused.
--- a/sidecar/local_execution.h
+++ b/sidecar/local_execution.h
@@ -28,6 +28,9 @@
 
   std::uint64_t Call() const { return this->request.call(); }
 
+  /// Whether the request has left the queue.
+  bool IsRunning() const { return this->is_running; }
+
   /// Submits the request for admission.
   void Start();
 
--- a/sidecar/local_executor.cc
+++ b/sidecar/local_executor.cc
@@ -139,6 +139,11 @@
   }
 }
 
+bool LocalExecutor::IsRunning(std::uint64_t call) const {
+  const auto found = this->executions.find(call);
+  return found != this->executions.end() && found->second->IsRunning();
+}
+
 void LocalExecutor::SetInstance(const UpstreamInstance* entry, std::string_view source) {
   const bool was_leaving = this->instance.IsLeaving();
   const LocalEntryEffect effect = this->instance.OnEntry(entry);
--- a/sidecar/local_executor.h
+++ b/sidecar/local_executor.h
@@ -51,6 +51,9 @@
   void Execute(wire::ExecutionRequest request, ExecutionObserver& observer) override;
   void Cancel(std::uint64_t call) override;
 
+  /// Whether the request has left the queue.
+  bool IsRunning(std::uint64_t call) const;
+
   /// Sets the registry's entry of the local instance; nullptr if it is not listed. An instance that
   /// is draining or was removed gets no new requests. `source` names the update in the log.
   void SetInstance(const UpstreamInstance* entry, std::string_view source);
--- a/sidecar/peer_link.cc
+++ b/sidecar/peer_link.cc
@@ -295,8 +295,11 @@
 }
 
 void PeerLink::OnSilence(TimePoint now) {
-  const bool responds = this->stream->UnacknowledgedBytes() == 0 ||
-                        this->stream->AcknowledgedBytes() > this->acknowledged_at_keep_alive;
+  const bool responds = this->stream->HostResponds(this->acknowledged_at_keep_alive);
+  if (!responds && now - this->last_contact >= kHostTimeout) {
+    this->Fail(ErrorKind::kPeerLost, "host does not respond");
+    return;
+  }
   if (!this->silent || this->host_responds != responds) {
     this->silent = true;
     this->host_responds = responds;
@@ -304,9 +307,8 @@
   }
   // An observer may cancel its request and start others.
   std::vector<std::uint64_t> stalled;
-  for (auto& [number, call] : this->calls) {
-    if (!call.stalled && now - call.sent_at >= kKeepAliveTimeout) {
-      call.stalled = true;
+  for (const auto& [number, call] : this->calls) {
+    if (now - call.sent_at >= kKeepAliveTimeout) {
       stalled.push_back(number);
     }
   }
--- a/sidecar/peer_link.h
+++ b/sidecar/peer_link.h
@@ -61,8 +61,6 @@
     ExecutionObserver* observer;
     TimePoint sent_at;
     TimePoint deadline;
-    /// Whether the observer knows that the peer is silent.
-    bool stalled = false;
   };
 
   enum class State : std::uint8_t { kClosed, kConnecting, kOpen };
--- a/sidecar/peer_protocol.h
+++ b/sidecar/peer_protocol.h
@@ -21,6 +21,9 @@
 inline constexpr Duration kSilenceBeforeKeepAlive = std::chrono::milliseconds(500);
 inline constexpr Duration kKeepAliveTimeout = std::chrono::milliseconds(700);
 
+/// Silence of a peer after which its connection is given up if its host does not respond either.
+inline constexpr Duration kHostTimeout = std::chrono::milliseconds(2500);
+
 /// Converts a point on the clock of this process to the reading that messages carry, and back.
 std::uint64_t ToClockMicroseconds(TimePoint time);
 Duration FromClockMicroseconds(std::uint64_t microseconds);
--- a/sidecar/peer_session.cc
+++ b/sidecar/peer_session.cc
@@ -2,6 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -65,7 +66,8 @@
 void PeerSession::CheckPeer(TimePoint now) {
   this->UpdateContact(now);
   const Duration silence = now - this->last_contact;
-  if (this->executions.empty() || !this->answers_receiver || silence < kSilenceBeforeKeepAlive ||
+  const bool waits = !this->executions.empty() || this->stream->UnacknowledgedBytes() > 0;
+  if (!waits || !this->answers_receiver || silence < kSilenceBeforeKeepAlive ||
       this->stream->HasUnreadBytes()) {
     return;
   }
@@ -76,10 +78,13 @@
   if (now - this->keep_alive_sent < kKeepAliveTimeout) {
     return;
   }
-  // A host that acknowledges has a process that is paused and will read its replies.
-  if (this->stream->UnacknowledgedBytes() > 0 &&
-      this->stream->AcknowledgedBytes() == this->acknowledged_at_keep_alive) {
+  // A host that responds has a process that is paused and will read its replies.
+  if (!this->stream->HostResponds(this->acknowledged_at_keep_alive)) {
     this->EndIdempotent(silence);
+    if (silence >= kHostTimeout) {
+      this->OnStreamClosed("host does not respond");
+      return;
+    }
   }
   this->SendKeepAlive(now);
 }
@@ -102,7 +107,8 @@
 void PeerSession::EndIdempotent(Duration silence) {
   std::vector<std::uint64_t> ended;
   for (const auto& [peer_call_id, execution] : this->executions) {
-    if (execution->IsIdempotent()) {
+    // One that waits for the instance ends by itself soon, as not run.
+    if (execution->IsIdempotent() && this->executor.IsRunning(execution->Call())) {
       ended.push_back(peer_call_id);
     }
   }
@@ -116,9 +122,14 @@
   lost.set_error(static_cast<std::uint32_t>(ErrorKind::kPeerLost));
   lost.set_reached_instance(true);
   for (const std::uint64_t peer_call_id : ended) {
+    // The end of one request may end others.
     const auto found = this->executions.find(peer_call_id);
-    this->executor.Cancel(found->second->Call());
-    found->second->OnExecutionReply(lost);  // Removes the execution.
+    if (found != this->executions.end()) {
+      const std::unique_ptr<Execution> execution = std::move(found->second);
+      this->executions.erase(found);
+      this->executor.Cancel(execution->Call());
+      this->SendReply(peer_call_id, lost);
+    }
   }
 }
 
@@ -126,8 +137,24 @@
   if (!this->executions.empty()) {
     return true;
   }
-  return this->clock.Now() - this->replied_at < kMaxDeliveryWait &&
-         (this->stream->HasUnsentFrames() || this->stream->UnacknowledgedBytes() > 0);
+  if (!this->stream->HasUnsentFrames() && this->stream->UnacknowledgedBytes() == 0) {
+    return false;
+  }
+  const TimePoint now = this->clock.Now();
+  if (this->stream->AcknowledgedBytes() != this->delivered_bytes) {
+    this->delivered_bytes = this->stream->AcknowledgedBytes();
+    this->delivered_at = now;
+  }
+  return now - std::max(this->replied_at, this->delivered_at) < kMaxDeliveryWait;
+}
+
+void PeerSession::SendReply(std::uint64_t peer_call_id, const wire::ExecutionReply& reply) {
+  wire::PeerFrame frame;
+  *frame.mutable_reply() = reply;
+  frame.mutable_reply()->set_call(peer_call_id);
+  frame.mutable_reply()->set_configuration_version(this->catalog_store.ConfigurationVersion());
+  this->stream->Send(frame);
+  this->replied_at = this->clock.Now();
 }
 
 void PeerSession::Close() {
@@ -280,13 +307,8 @@
 }
 
 void PeerSession::Execution::OnExecutionReply(const wire::ExecutionReply& reply) {
-  wire::PeerFrame frame;
-  *frame.mutable_reply() = reply;
-  frame.mutable_reply()->set_call(this->peer_call_id);
   PeerSession& owner = this->session;
-  frame.mutable_reply()->set_configuration_version(owner.catalog_store.ConfigurationVersion());
-  owner.stream->Send(frame);
-  owner.replied_at = owner.clock.Now();
+  owner.SendReply(this->peer_call_id, reply);
   owner.executions.erase(this->peer_call_id);  // Destroys this object.
 }
 
--- a/sidecar/peer_session.h
+++ b/sidecar/peer_session.h
@@ -96,6 +96,7 @@
   /// Updates the time of the last contact if bytes have arrived, also those of an incomplete frame.
   void UpdateContact(TimePoint now);
   void SendKeepAlive(TimePoint now);
+  void SendReply(std::uint64_t peer_call_id, const wire::ExecutionReply& reply);
   /// Ends the idempotent requests in progress, as lost.
   void EndIdempotent(Duration silence);
   void OnRequest(wire::ExecutionRequest& request);
@@ -121,7 +122,11 @@
   /// Bytes received at the last check, and acknowledged when the last keep-alive was sent.
   std::uint64_t received_bytes = 0;
   std::uint64_t acknowledged_at_keep_alive = 0;
+  /// When the last reply was sent, and when the peer's host was seen to acknowledge further bytes
+  /// during a shutdown.
   TimePoint replied_at{};
+  TimePoint delivered_at{};
+  std::uint64_t delivered_bytes = 0;
   /// Keyed by the peer's call id.
   std::map<std::uint64_t, std::unique_ptr<Execution>> executions;
   Ref<PeerSession> self;
--- a/sidecar/silent_peer_test.cc
+++ b/sidecar/silent_peer_test.cc
@@ -37,8 +37,8 @@
       this->fleet.At(machine).settings.retries.slack = this->retry_slack;
       this->fleet.At(machine).settings.retries.ratio = this->retry_slack == 0 ? 0 : 0.2;
     }
-    this->fleet.AddRoute("read", "page", true).timeout = seconds(5);
-    this->fleet.AddRoute("write", "page", false).timeout = seconds(5);
+    this->fleet.AddRoute("read", "page", true).timeout = this->time_limit;
+    this->fleet.AddRoute("write", "page", false).timeout = this->time_limit;
     this->fleet.Start();
     this->fleet.Kill(1);
     this->fleet.RunFor(milliseconds(20));
@@ -66,19 +66,20 @@
         this->fleet.RunUntil([&] { return this->peer->Count(wire::PeerFrame::kRequest) == 1; }));
   }
 
-  /// Sends the answer of the silent peer's instance.
-  void Answer() {
+  /// Sends an answer of the silent peer's instance: to the request `call`, or to the last one.
+  void Answer(std::optional<std::uint64_t> call = std::nullopt, std::uint32_t status = 200) {
     wire::PeerFrame frame;
+    wire::ExecutionReply& reply = *frame.mutable_reply();
     for (const wire::PeerFrame& received : this->peer->Received()) {
       if (received.body_case() == wire::PeerFrame::kRequest) {
-        frame.mutable_reply()->set_call(received.request().call());
+        reply.set_call(call.value_or(received.request().call()));
       }
     }
-    frame.mutable_reply()->set_status(200);
-    frame.mutable_reply()->set_reason("OK");
-    frame.mutable_reply()->set_header_lines("Test-Seal: seal\r\n");
-    frame.mutable_reply()->set_body("first");
-    frame.mutable_reply()->set_reached_instance(true);
+    reply.set_status(status);
+    reply.set_reason("Reason");
+    reply.set_header_lines("Test-Seal: seal\r\n");
+    reply.set_body("first");
+    reply.set_reached_instance(true);
     this->peer->Send(frame);
   }
 
@@ -92,6 +93,7 @@
   std::optional<boost::asio::ip::tcp::acceptor> acceptor;
   std::unique_ptr<RawPeer> peer;
   std::unique_ptr<RawCaller> caller;
+  Duration time_limit = seconds(5);
   /// Number of repeats of the retry budget; 0 denies all.
   int retry_slack = 48;
   /// Whether the other instances keep their requests, and the requests that reached them.
--- a/sidecar/tcp_address.cc
+++ b/sidecar/tcp_address.cc
@@ -14,9 +14,6 @@
 constexpr int kKeepAliveIntervalSeconds = 1;
 constexpr int kKeepAliveProbes = 2;
 
-/// Maximum time for which sent data may remain unacknowledged.
-constexpr int kUserTimeoutMilliseconds = 2500;
-
 /// A socket option with an integer value, with the interface that Asio requires.
 class TcpOption {
  public:
@@ -76,7 +73,12 @@
   socket.set_option(TcpOption(TCP_KEEPIDLE, kKeepAliveIdleSeconds), ignored);
   socket.set_option(TcpOption(TCP_KEEPINTVL, kKeepAliveIntervalSeconds), ignored);
   socket.set_option(TcpOption(TCP_KEEPCNT, kKeepAliveProbes), ignored);
-  socket.set_option(TcpOption(TCP_USER_TIMEOUT, kUserTimeoutMilliseconds), ignored);
+}
+
+void SetUserTimeout(boost::asio::ip::tcp::socket& socket, Duration timeout) {
+  const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(timeout).count();
+  boost::system::error_code ignored;  // Without it, the timeouts of the requests apply.
+  socket.set_option(TcpOption(TCP_USER_TIMEOUT, static_cast<int>(milliseconds)), ignored);
 }
 
 }  // namespace masticpin
--- a/sidecar/tcp_address.h
+++ b/sidecar/tcp_address.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "masticpin/base/socket_address.h"
+#include "masticpin/base/time.h"
 
 namespace masticpin {
 
@@ -17,8 +18,13 @@
                          const SocketAddress& address,
                          int backlog);
 
-/// Makes the kernel close a connection whose remote side has become silent: after about three
-/// seconds without a response to keep-alive probes or with unacknowledged data.
+/// Makes the kernel close an idle connection whose remote host has become silent: after about three
+/// seconds without a response to keep-alive probes.
 void EnableDeadPeerDetection(boost::asio::ip::tcp::socket& socket);
 
+/// Sets the time for which sent data may remain unacknowledged until the kernel closes the
+/// connection; 0 for the kernel's default of many minutes. Data that waits for the receive window
+/// counts as unacknowledged, also if the remote host responds and only its process does not read.
+void SetUserTimeout(boost::asio::ip::tcp::socket& socket, Duration timeout);
+
 }  // namespace masticpin
--- a/sidecar/tcp_connection_state.cc
+++ b/sidecar/tcp_connection_state.cc
@@ -1,6 +1,7 @@
 #include "sidecar/tcp_connection_state.h"
 
 #include <linux/sockios.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/ioctl.h>
 
@@ -15,6 +16,17 @@
   return static_cast<std::size_t>(bytes);
 }
 
+std::optional<bool> HasAcknowledgedAllSegments(boost::asio::ip::tcp::socket& socket) {
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  if (!socket.is_open() ||
+      getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0 ||
+      info.tcpi_state != TCP_ESTABLISHED) {
+    return std::nullopt;
+  }
+  return info.tcpi_unacked == 0;
+}
+
 void CloseAndDiscard(boost::asio::ip::tcp::socket& socket) {
   boost::system::error_code ignored;  // The connection is closed even if this fails.
   // A reset is sent only once. If all bytes have arrived, the end of the stream, which the kernel
--- a/sidecar/tcp_connection_state.h
+++ b/sidecar/tcp_connection_state.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <cstddef>
+#include <optional>
 
 #include "masticpin/base/time.h"
 
@@ -17,6 +18,11 @@
 /// bytes yet.
 std::size_t UnacknowledgedBytes(boost::asio::ip::tcp::socket& socket);
 
+/// Returns whether the remote host has acknowledged all segments that were sent to it. Bytes beyond
+/// them wait for its receive window: a process that does not read closes the window, while its host
+/// goes on answering. Returns std::nullopt if the kernel does not tell.
+std::optional<bool> HasAcknowledgedAllSegments(boost::asio::ip::tcp::socket& socket);
+
 /// Closes the socket. Bytes that the remote host has not acknowledged are discarded, by a reset of
 /// the connection; after an ordinary close, the kernel would go on delivering them.
 void CloseAndDiscard(boost::asio::ip::tcp::socket& socket);
--- a/sidecar/testing/raw_peer.cc
+++ b/sidecar/testing/raw_peer.cc
@@ -1,5 +1,9 @@
 #include "sidecar/testing/raw_peer.h"
 
+#include <gtest/gtest.h>
+#include <linux/filter.h>
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 
@@ -19,6 +23,7 @@
     socket.set_option(boost::asio::socket_base::receive_buffer_size(kSmallBufferBytes));
   }
   socket.connect(ToEndpoint(address));
+  this->descriptor = socket.native_handle();
   this->stream = Ref<FrameStream>(new FrameStream(std::move(socket), *this));
   wire::PeerFrame hello;
   hello.mutable_hello()->set_protocol(kPeerProtocolVersion);
@@ -31,11 +36,24 @@
   }
 }
 
-RawPeer::RawPeer(boost::asio::ip::tcp::socket socket)
-    : stream(new FrameStream(std::move(socket), *this)) {
+RawPeer::RawPeer(boost::asio::ip::tcp::socket socket) : descriptor(socket.native_handle()) {
+  this->stream = Ref<FrameStream>(new FrameStream(std::move(socket), *this));
   this->stream->Start();
 }
 
+void RawPeer::CutOff() {
+  // A socket filter that accepts 0 bytes of each packet drops it before TCP sees it.
+  sock_filter drop{BPF_RET | BPF_K, 0, 0, 0};
+  const sock_fprog program{1, &drop};
+  ASSERT_EQ(setsockopt(this->descriptor, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program)),
+            0);
+}
+
+void RawPeer::Restore() {
+  const int unused = 0;
+  ASSERT_EQ(setsockopt(this->descriptor, SOL_SOCKET, SO_DETACH_FILTER, &unused, sizeof(unused)), 0);
+}
+
 void RawPeer::Send(const std::vector<wire::PeerFrame>& frames) {
   for (const wire::PeerFrame& frame : frames) {
     this->stream->Send(frame);
--- a/sidecar/testing/raw_peer.h
+++ b/sidecar/testing/raw_peer.h
@@ -32,6 +32,11 @@
   explicit RawPeer(boost::asio::ip::tcp::socket socket);
   ~RawPeer() override { this->stream->Close(); }
 
+  /// Makes the host of this peer drop all that arrives on the connection, without acknowledging it,
+  /// and ends that.
+  void CutOff();
+  void Restore();
+
   /// Reads from now on, if it did not before.
   void StartReading() { this->stream->Start(); }
 
@@ -56,6 +61,8 @@
   void OnStreamClosed(std::string_view) override { this->closed_by_peer = true; }
 
   Ref<FrameStream> stream;
+  /// Descriptor of the socket that `stream` owns.
+  int descriptor = -1;
   std::vector<wire::PeerFrame> received;
   bool closed_by_peer = false;
 };
