Skip frames that are too large or cannot be decoded

Such a frame closed the connection, and all other requests on it were answered 504 (peer_lost) although their instances were at work. The receiver now skips it without storing it and goes on with the next frame. The start of the frame names its call: a request gets 413 or 400, since it has not run, a reply becomes 502, since it has. A length above 1 GiB still closes the connection, because the next frame cannot be found.

--- a/sidecar/frame_observer.h
+++ b/sidecar/frame_observer.h
@@ -3,6 +3,7 @@
 #include <string_view>
 
 #include "masticpin/wire/peer_frame.pb.h"
+#include "sidecar/unreadable_frame.h"
 
 namespace masticpin {
 
@@ -13,6 +14,9 @@
 
   virtual void OnFrame(wire::PeerFrame& frame) = 0;
 
+  /// Called instead of OnFrame() for a frame that is too large or cannot be decoded.
+  virtual void OnUnreadableFrame(const UnreadableFrame& frame) = 0;
+
   /// Called once when the connection has ended, but not after FrameStream::Close().
   virtual void OnStreamClosed(std::string_view reason) = 0;
 };
--- a/sidecar/frame_stream.cc
+++ b/sidecar/frame_stream.cc
@@ -4,10 +4,12 @@
 #include <google/protobuf/io/zero_copy_stream_impl_lite.h>
 #include <google/protobuf/util/delimited_message_util.h>
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <utility>
 
+#include "sidecar/frame_size_limit.h"
 #include "sidecar/tcp_connection_state.h"
 
 namespace masticpin {
@@ -22,6 +24,10 @@
 /// Maximum size of the varint that holds a frame's length.
 constexpr std::size_t kMaxLengthBytes = 5;
 
+/// Maximum size of a frame that is skipped. No node sends larger ones, so a greater length is that
+/// of a corrupted stream, in which the next frame cannot be found.
+constexpr std::size_t kMaxSkippedFrameBytes = std::size_t{1} << 30;
+
 }  // namespace
 
 FrameStream::FrameStream(boost::asio::ip::tcp::socket socket, FrameObserver& observer)
@@ -85,7 +91,9 @@
 
 void FrameStream::OnRead(std::size_t bytes) {
   this->received_bytes += bytes;
-  this->input.append(this->read_buffer.get(), bytes);
+  const std::size_t skipped = std::min(this->bytes_to_skip, bytes);
+  this->bytes_to_skip -= skipped;
+  this->input.append(this->read_buffer.get() + skipped, bytes - skipped);
   std::size_t used = 0;
   while (this->observer != nullptr) {
     // Read the length of the next frame.
@@ -99,21 +107,32 @@
       }
       break;
     }
-    if (length > kMaxFrameBytes) {
+    if (length > kMaxSkippedFrameBytes) {
       this->Fail("frame is too large");
       break;
     }
     const auto header = static_cast<std::size_t>(coded.CurrentPosition());
-    if (available < header + length) {
+    const bool too_large = length > FrameSizeLimit::kDefaultBytes;
+    if (available < header + (too_large ? kFrameStartBytes : length)) {
       break;
     }
+    const std::string_view content(this->input.data() + used + header,
+                                   std::min<std::size_t>(available - header, length));
+    const std::string_view start = content.substr(0, kFrameStartBytes);
+    used += header + content.size();
+    if (too_large) {
+      this->bytes_to_skip = length - content.size();
+      this->observer->OnUnreadableFrame(
+          IdentifyFrame(start, length, UnreadableFrame::Reason::kTooLarge));
+      continue;
+    }
     // Deliver the frame.
     wire::PeerFrame frame;
-    if (!frame.ParseFromArray(begin + header, static_cast<int>(length))) {
-      this->Fail("frame cannot be decoded");
-      break;
+    if (!frame.ParseFromArray(content.data(), static_cast<int>(content.size()))) {
+      this->observer->OnUnreadableFrame(
+          IdentifyFrame(start, length, UnreadableFrame::Reason::kUndecodable));
+      continue;
     }
-    used += header + length;
     this->observer->OnFrame(frame);
   }
   if (this->observer == nullptr) {
--- a/sidecar/frame_stream.h
+++ b/sidecar/frame_stream.h
@@ -12,13 +12,10 @@
 
 /// Sends and receives the frames of one connection between nodes: protobuf messages in the
 /// delimited format (each preceded by its length as a varint). Frames that are sent while a write
-/// is in progress are combined into the next write.
+/// is in progress are combined into the next write. A frame that is too large is skipped without
+/// storing it, and one that cannot be decoded is dropped; the connection goes on.
 class FrameStream : public RefCounted<FrameStream> {
  public:
-  /// Maximum size of a frame; a larger one closes the connection. A body of this size already takes
-  /// a tenth of the memory of the smallest machine.
-  static constexpr std::size_t kMaxFrameBytes = std::size_t{16} << 20;
-
   /// `observer` must outlive the stream, or Close() must be called before it is destroyed.
   FrameStream(boost::asio::ip::tcp::socket socket, FrameObserver& observer);
 
@@ -61,6 +58,8 @@
   FrameObserver* observer;
   std::unique_ptr<char[]> read_buffer;
   std::string input;
+  /// Number of bytes to come of a frame that is skipped.
+  std::size_t bytes_to_skip = 0;
   /// Frames that are being written (`output`), and those queued for the next write (`pending`).
   std::string output;
   std::string pending;
--- a/sidecar/frame_stream_test.cc
+++ b/sidecar/frame_stream_test.cc
@@ -4,9 +4,11 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/write.hpp>
+#include <fstream>
 #include <vector>
 
 #include "masticpin/testing/seeded_random.h"
+#include "sidecar/frame_size_limit.h"
 
 namespace masticpin {
 namespace {
@@ -14,9 +16,13 @@
 class RecordingObserver : public FrameObserver {
  public:
   void OnFrame(wire::PeerFrame& frame) override { this->frames.push_back(frame); }
+  void OnUnreadableFrame(const UnreadableFrame& frame) override {
+    this->unreadable.push_back(frame);
+  }
   void OnStreamClosed(std::string_view reason) override { this->closed = std::string(reason); }
 
   std::vector<wire::PeerFrame> frames;
+  std::vector<UnreadableFrame> unreadable;
   std::string closed;
 };
 
@@ -43,6 +49,15 @@
   Ref<FrameStream> stream;
 };
 
+/// Resident memory of this process in bytes.
+std::size_t ResidentBytes() {
+  std::ifstream file("/proc/self/statm");
+  std::size_t total = 0;
+  std::size_t resident = 0;
+  file >> total >> resident;
+  return resident * 4096;
+}
+
 std::string EncodeFrame(std::uint64_t call, const std::string& body) {
   wire::PeerFrame frame;
   frame.mutable_request()->set_call(call);
@@ -86,6 +101,64 @@
   EXPECT_EQ(this->observer.closed, "frame has no valid length");
 }
 
+// Guards against an oversized frame that ends the connection, or is stored in memory, and against
+// losing the frames around it.
+TEST_F(FrameStreamTest, OversizedFrameIsSkippedWithoutStoringIt) {
+  constexpr std::size_t kBodyBytes = std::size_t{64} << 20;
+  constexpr std::size_t kMaxGrowth = std::size_t{8} << 20;
+  constexpr std::size_t kPartBytes = std::size_t{256} << 10;
+  const std::string bytes =
+      EncodeFrame(1, "a") + EncodeFrame(2, std::string(kBodyBytes, 'b')) + EncodeFrame(3, "c");
+  const std::size_t before = ResidentBytes();
+  std::size_t peak = before;
+  for (std::size_t sent = 0; sent < bytes.size(); sent += kPartBytes) {
+    boost::asio::write(this->raw, boost::asio::buffer(bytes.substr(sent, kPartBytes)));
+    this->loop.restart();
+    this->loop.poll();
+    peak = std::max(peak, ResidentBytes());
+  }
+  this->Write("");
+  ASSERT_EQ(this->observer.frames.size(), 2U);
+  EXPECT_EQ(this->observer.frames[1].request().call(), 3U);
+  ASSERT_EQ(this->observer.unreadable.size(), 1U);
+  EXPECT_EQ(this->observer.unreadable[0].reason, UnreadableFrame::Reason::kTooLarge);
+  EXPECT_EQ(this->observer.unreadable[0].kind, wire::PeerFrame::kRequest);
+  EXPECT_EQ(this->observer.unreadable[0].call, 2U);
+  EXPECT_EQ(this->observer.closed, "");
+  EXPECT_LT(peak - before, kMaxGrowth);
+}
+
+// Guards against an oversized frame whose end is found at the wrong byte when the network splits
+// it.
+TEST_F(FrameStreamTest, OversizedFrameIsSkippedAtAnySplit) {
+  const std::string large = EncodeFrame(2, std::string(FrameSizeLimit::kDefaultBytes, 'b'));
+  for (std::size_t split = 1; split < 50; ++split) {
+    this->observer.frames.clear();
+    this->observer.unreadable.clear();
+    this->Write(large.substr(0, split));
+    const std::size_t parts = std::size_t{1} << 20;
+    for (std::size_t sent = split; sent < large.size(); sent += parts) {
+      boost::asio::write(this->raw, boost::asio::buffer(large.substr(sent, parts)));
+      this->loop.restart();
+      this->loop.poll();
+    }
+    this->Write(EncodeFrame(split, "c"));
+    ASSERT_EQ(this->observer.unreadable.size(), 1U) << split;
+    ASSERT_EQ(this->observer.frames.size(), 1U) << split;
+    ASSERT_EQ(this->observer.frames[0].request().call(), split);
+  }
+}
+
+// Guards against an undecodable frame that ends the connection.
+TEST_F(FrameStreamTest, UndecodableFrameIsDropped) {
+  this->Write(std::string("\x06\x12\x04\x08\x07\x32\x7f", 7) + EncodeFrame(3, "c"));
+  ASSERT_EQ(this->observer.unreadable.size(), 1U);
+  EXPECT_EQ(this->observer.unreadable[0].reason, UnreadableFrame::Reason::kUndecodable);
+  EXPECT_EQ(this->observer.unreadable[0].call, 7U);
+  ASSERT_EQ(this->observer.frames.size(), 1U);
+  EXPECT_EQ(this->observer.closed, "");
+}
+
 // Guards against a decoder that crashes or hangs on arbitrary bytes.
 TEST_F(FrameStreamTest, RandomBytesAreRejectedOrIgnored) {
   SeededRandom random(6);
--- a/sidecar/peer_link.cc
+++ b/sidecar/peer_link.cc
@@ -197,6 +197,24 @@
   }
 }
 
+void PeerLink::OnUnreadableFrame(const UnreadableFrame& frame) {
+  const Ref<PeerLink> keep(this);
+  this->UpdateContact(this->clock.Now());
+  spdlog::warn("event=frame_unreadable peer={} frame={} call={} bytes={} reason={}", this->instance,
+               static_cast<int>(frame.kind), frame.call, frame.bytes, ReasonName(frame.reason));
+  const auto found = this->calls.find(frame.call);
+  if (frame.kind != wire::PeerFrame::kReply || found == this->calls.end()) {
+    return;
+  }
+  ExecutionObserver* const finished_observer = found->second.observer;
+  this->calls.erase(found);
+  // The reply may be the response of the instance.
+  wire::ExecutionReply reply;
+  reply.set_error(static_cast<std::uint32_t>(ErrorKind::kUpstreamBroken));
+  reply.set_reached_instance(true);
+  finished_observer->OnExecutionReply(reply);
+}
+
 void PeerLink::Confirm(std::uint64_t call) {
   const auto found = this->calls.find(call);
   if (found == this->calls.end()) {
--- a/sidecar/peer_link.h
+++ b/sidecar/peer_link.h
@@ -64,6 +64,7 @@
   enum class State : std::uint8_t { kClosed, kConnecting, kOpen };
 
   void OnFrame(wire::PeerFrame& frame) override;
+  void OnUnreadableFrame(const UnreadableFrame& frame) override;
   void OnStreamClosed(std::string_view reason) override;
   void OnTimer(TimePoint now) override;
   /// Answers the peer's question whether a request is still wanted.
--- a/sidecar/peer_session.cc
+++ b/sidecar/peer_session.cc
@@ -154,6 +154,28 @@
   }
 }
 
+void PeerSession::OnUnreadableFrame(const UnreadableFrame& frame) {
+  const Ref<PeerSession> keep(this);
+  this->last_contact = this->clock.Now();
+  spdlog::warn("event=frame_unreadable caller_service={} frame={} call={} bytes={} reason={}",
+               this->caller_service, static_cast<int>(frame.kind), frame.call, frame.bytes,
+               ReasonName(frame.reason));
+  if (frame.kind != wire::PeerFrame::kRequest || frame.call == 0 ||
+      this->executions.contains(frame.call)) {
+    return;
+  }
+  const ErrorKind error = frame.reason == UnreadableFrame::Reason::kTooLarge
+                              ? ErrorKind::kBodyTooLarge
+                              : ErrorKind::kMalformedRequest;
+  wire::PeerFrame reply;
+  reply.mutable_reply()->set_call(frame.call);
+  reply.mutable_reply()->set_error(static_cast<std::uint32_t>(error));
+  reply.mutable_reply()->set_configuration_version(this->catalog_store.ConfigurationVersion());
+  EncodeLoadReport(this->executor.GetLoad(), *reply.mutable_reply()->mutable_load());
+  this->stream->Send(reply);
+  this->replied_at = this->clock.Now();
+}
+
 void PeerSession::OnStreamClosed(std::string_view reason) {
   if (!this->executions.empty()) {
     spdlog::info("event=peer_session_closed requests={} reason=\"{}\"", this->executions.size(),
--- a/sidecar/peer_session.h
+++ b/sidecar/peer_session.h
@@ -89,6 +89,7 @@
   };
 
   void OnFrame(wire::PeerFrame& frame) override;
+  void OnUnreadableFrame(const UnreadableFrame& frame) override;
   void OnStreamClosed(std::string_view reason) override;
   void OnRequest(wire::ExecutionRequest& request);
   /// Returns whether the request may have been under way for so long that its caller has left
--- a/sidecar/testing/raw_peer.h
+++ b/sidecar/testing/raw_peer.h
@@ -53,6 +53,7 @@
 
  private:
   void OnFrame(wire::PeerFrame& frame) override { this->received.push_back(frame); }
+  void OnUnreadableFrame(const UnreadableFrame&) override {}
   void OnStreamClosed(std::string_view) override { this->closed_by_peer = true; }
 
   Ref<FrameStream> stream;
