Bound messages between nodes in one place

A node admitted bodies up to an eighth of its memory, while a frame could have 16 MiB; neither bound knew of the other. FrameSizeLimit now holds the bound: a larger body gets 413 where it enters, and each node states its limit in its hello, which is checked before a frame is sent. A peer that states none is assumed to accept 16 MiB. A reply above the limit of its receiver becomes 502.

--- a/sidecar/peer_link.cc
+++ b/sidecar/peer_link.cc
@@ -64,6 +64,14 @@
   const TimePoint now = this->clock.Now();
   frame.mutable_request()->set_sender_clock_us(ToClockMicroseconds(now));
   frame.mutable_request()->set_configuration_version(this->catalog_store.ConfigurationVersion());
+  if (!this->frame_limit.Allows(frame)) {
+    spdlog::warn("event=request_too_large peer={} id={} bytes={}", this->instance,
+                 frame.request().request_id(), frame.ByteSizeLong());
+    wire::ExecutionReply refusal;
+    refusal.set_error(static_cast<std::uint32_t>(ErrorKind::kBodyTooLarge));
+    call_observer.OnExecutionReply(refusal);
+    return;
+  }
   if (this->calls.empty() && !this->silent) {
     // A peer may send nothing while no request is in progress, so silence is measured from this
     // one.
@@ -144,6 +152,8 @@
   hello.mutable_hello()->set_service(this->service);
   hello.mutable_hello()->set_caller_service(this->local_service);
   hello.mutable_hello()->set_answers_receiver(true);
+  this->frame_limit = FrameSizeLimit();
+  FrameSizeLimit::Announce(*hello.mutable_hello());
   this->stream->Send(hello);
   for (const wire::PeerFrame& frame : this->waiting) {
     this->stream->Send(frame);
@@ -156,6 +166,9 @@
   const Ref<PeerLink> keep(this);
   this->UpdateContact(this->clock.Now());
   switch (frame.body_case()) {
+    case wire::PeerFrame::kHello:
+      this->frame_limit.OnHello(frame.hello());
+      break;
     case wire::PeerFrame::kReply: {
       const wire::ExecutionReply& reply = frame.reply();
       this->observer.OnPeerLoad(this->instance, DecodeLoadReport(reply.load()));
--- a/sidecar/peer_link.h
+++ b/sidecar/peer_link.h
@@ -12,6 +12,7 @@
 #include "masticpin/base/socket_address.h"
 #include "masticpin/base/timer_service.h"
 #include "sidecar/catalog_store.h"
+#include "sidecar/frame_size_limit.h"
 #include "sidecar/frame_stream.h"
 #include "sidecar/peer_link_observer.h"
 #include "sidecar/request_executor.h"
@@ -94,6 +95,8 @@
   State state = State::kClosed;
   std::unique_ptr<boost::asio::ip::tcp::socket> connecting_socket;
   Ref<FrameStream> stream;
+  /// Limit of the connection; the default until the peer's hello arrives.
+  FrameSizeLimit frame_limit;
   /// Requests that wait for the connection to be established.
   std::vector<wire::PeerFrame> waiting;
   std::map<std::uint64_t, Call> calls;
--- a/sidecar/peer_session.cc
+++ b/sidecar/peer_session.cc
@@ -6,6 +6,7 @@
 
 #include "sidecar/peer_protocol.h"
 #include "sidecar/tcp_connection_state.h"
+#include "sidecar/utf8.h"
 
 namespace masticpin {
 namespace {
@@ -108,13 +109,7 @@
   this->last_contact = this->clock.Now();
   switch (frame.body_case()) {
     case wire::PeerFrame::kHello:
-      if (frame.hello().protocol() != kPeerProtocolVersion) {
-        spdlog::warn("event=unknown_peer_protocol protocol={}", frame.hello().protocol());
-        this->Close();
-      }
-      this->caller_service = frame.hello().caller_service();
-      this->service_matches = frame.hello().service() == this->local_service;
-      this->answers_receiver = frame.hello().answers_receiver();
+      this->OnHello(frame.hello());
       break;
     case wire::PeerFrame::kRequest:
       this->OnRequest(*frame.mutable_request());
@@ -154,6 +149,41 @@
   }
 }
 
+void PeerSession::OnHello(const wire::PeerHello& hello) {
+  if (hello.protocol() != kPeerProtocolVersion) {
+    spdlog::warn("event=unknown_peer_protocol protocol={}", hello.protocol());
+    this->Close();
+  }
+  this->caller_service = hello.caller_service();
+  this->service_matches = hello.service() == this->local_service;
+  this->answers_receiver = hello.answers_receiver();
+  this->frame_limit.OnHello(hello);
+  if (this->frame_limit.IsAnnounced()) {
+    wire::PeerFrame frame;
+    frame.mutable_hello()->set_protocol(kPeerProtocolVersion);
+    FrameSizeLimit::Announce(*frame.mutable_hello());
+    this->stream->Send(frame);
+  }
+}
+
+void PeerSession::FitReply(wire::PeerFrame& frame) const {
+  wire::ExecutionReply& reply = *frame.mutable_reply();
+  if (!this->frame_limit.IsAnnounced() && !IsUtf8(reply.reason())) {
+    reply.clear_reason();  // An older peer cannot decode it.
+  }
+  if (this->frame_limit.Allows(frame)) {
+    return;
+  }
+  spdlog::warn("event=reply_too_large caller_service={} call={} bytes={}", this->caller_service,
+               reply.call(), frame.ByteSizeLong());
+  // The request has run, so that its outcome is unknown to a caller that cannot get the response.
+  reply.set_error(static_cast<std::uint32_t>(ErrorKind::kUpstreamBroken));
+  reply.clear_status();
+  reply.clear_reason();
+  reply.clear_header_lines();
+  reply.clear_body();
+}
+
 void PeerSession::OnUnreadableFrame(const UnreadableFrame& frame) {
   const Ref<PeerSession> keep(this);
   this->last_contact = this->clock.Now();
@@ -268,6 +298,7 @@
   frame.mutable_reply()->set_call(this->peer_call_id);
   PeerSession& owner = this->session;
   frame.mutable_reply()->set_configuration_version(owner.catalog_store.ConfigurationVersion());
+  owner.FitReply(frame);
   owner.stream->Send(frame);
   owner.replied_at = owner.clock.Now();
   owner.executions.erase(this->peer_call_id);  // Destroys this object.
--- a/sidecar/peer_session.h
+++ b/sidecar/peer_session.h
@@ -13,6 +13,7 @@
 #include "masticpin/membership/transit_time_estimator.h"
 #include "sidecar/catalog_store.h"
 #include "sidecar/execution_observer.h"
+#include "sidecar/frame_size_limit.h"
 #include "sidecar/frame_stream.h"
 #include "sidecar/local_executor.h"
 
@@ -91,7 +92,10 @@
   void OnFrame(wire::PeerFrame& frame) override;
   void OnUnreadableFrame(const UnreadableFrame& frame) override;
   void OnStreamClosed(std::string_view reason) override;
+  void OnHello(const wire::PeerHello& hello);
   void OnRequest(wire::ExecutionRequest& request);
+  /// Makes `frame` one that the peer can read: replaces a reply that is too large by an error.
+  void FitReply(wire::PeerFrame& frame) const;
   /// Returns whether the request may have been under way for so long that its caller has left
   /// meanwhile. If so, reduces its remaining time as far as that is known.
   bool MayBeDelayed(wire::ExecutionRequest& request);
@@ -107,6 +111,7 @@
   std::string caller_service;
   bool service_matches = false;
   bool answers_receiver = false;
+  FrameSizeLimit frame_limit;
   Ref<FrameStream> stream;
   /// When the last frame arrived, and when a keep-alive was sent because none had arrived.
   TimePoint last_contact;
--- a/sidecar/routed_request.cc
+++ b/sidecar/routed_request.cc
@@ -11,6 +11,7 @@
 
 #include "masticpin/error/error_info.h"
 #include "masticpin/execution/running_request_table.h"
+#include "sidecar/frame_size_limit.h"
 #include "sidecar/peer_protocol.h"
 #include "sidecar/request_router.h"
 
@@ -75,6 +76,13 @@
   }
   this->ReadContext();
   this->ChooseService();
+  const std::size_t max_body_bytes =
+      FrameSizeLimit::MaxRequestBodyBytes(this->router.settings.max_body_bytes_in_progress);
+  if (request.body.size() > max_body_bytes) {
+    this->Refuse(ErrorKind::kBodyTooLarge, Duration::zero(),
+                 "the body is larger than what nodes pass on");
+    return;
+  }
   if (!this->IsAcceptedDuringStop()) {
     this->Refuse(ErrorKind::kDraining, Duration::zero(), "the node is shutting down");
     return;
@@ -505,7 +513,8 @@
   int status = error_info.http_status;
   if (refusal && status >= 500) {
     status = 503;
-  } else if (!refusal && status == 503) {
+  } else if (!refusal && IsNotRun(kind) && status != 504) {
+    // Of these statuses, only 504 does not promise that the request has not run.
     status = 502;
   }
   OutgoingResponse reply;
