Keep requests that are not UTF-8 from ending links to older nodes

An older node closes the connection when a text of a request is not UTF-8. Such a request is sent in the new field opaque_request, which older nodes skip: it ends at its deadline, and the other requests go on.

--- a/sidecar/peer_link.cc
+++ b/sidecar/peer_link.cc
@@ -7,6 +7,7 @@
 
 #include "sidecar/peer_protocol.h"
 #include "sidecar/tcp_address.h"
+#include "sidecar/utf8.h"
 
 namespace masticpin {
 namespace {
@@ -89,7 +90,7 @@
       this->waiting.push_back(std::move(frame));
       break;
     case State::kOpen:
-      this->stream->Send(frame);
+      this->SendRequest(frame);
       if (!this->keep_alive_pending) {
         this->timers.Schedule(*this, this->last_contact + kSilenceBeforeKeepAlive);
       }
@@ -97,6 +98,15 @@
   }
 }
 
+void PeerLink::SendRequest(wire::PeerFrame& frame) {
+  const wire::ExecutionRequest& request = frame.request();
+  if (!IsUtf8(request.target()) || !IsUtf8(request.request_id()) || !IsUtf8(request.method())) {
+    const std::unique_ptr<wire::ExecutionRequest> opaque(frame.release_request());
+    frame.mutable_opaque_request()->Swap(opaque.get());
+  }
+  this->stream->Send(frame);
+}
+
 void PeerLink::Cancel(std::uint64_t call) {
   if (this->calls.erase(call) == 0) {
     return;
@@ -155,8 +165,8 @@
   this->frame_limit = FrameSizeLimit();
   FrameSizeLimit::Announce(*hello.mutable_hello());
   this->stream->Send(hello);
-  for (const wire::PeerFrame& frame : this->waiting) {
-    this->stream->Send(frame);
+  for (wire::PeerFrame& frame : this->waiting) {
+    this->SendRequest(frame);
   }
   this->waiting.clear();
   this->stream->Start();
--- a/sidecar/peer_link.h
+++ b/sidecar/peer_link.h
@@ -70,6 +70,7 @@
   void OnTimer(TimePoint now) override;
   /// Answers the peer's question whether a request is still wanted.
   void Confirm(std::uint64_t call);
+  void SendRequest(wire::PeerFrame& frame);
   void Connect();
   void OnConnected();
   void SendKeepAlive(TimePoint now);
--- a/sidecar/peer_session.cc
+++ b/sidecar/peer_session.cc
@@ -114,6 +114,9 @@
     case wire::PeerFrame::kRequest:
       this->OnRequest(*frame.mutable_request());
       break;
+    case wire::PeerFrame::kOpaqueRequest:
+      this->OnRequest(*frame.mutable_opaque_request());
+      break;
     case wire::PeerFrame::kCancel: {
       const auto found = this->executions.find(frame.cancel().call());
       if (found != this->executions.end()) {
