Test messages between nodes with different limits

Peers that state a smaller limit, older peers that state none and cannot decode texts that are not UTF-8, and a 413 after an attempt that may have run.

--- a/sidecar/large_message_test.cc
+++ b/sidecar/large_message_test.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "masticpin/error/error_kind.h"
+#include "sidecar/peer_protocol.h"
 #include "sidecar/tcp_address.h"
 #include "sidecar/testing/raw_peer.h"
 #include "sidecar/testing/sidecar_node_fixture.h"
@@ -31,6 +32,16 @@
   return frame;
 }
 
+/// Returns the hello of a peer of "front" that accepts frames up to `max_frame_bytes`.
+wire::PeerFrame MakeHello(std::uint64_t max_frame_bytes) {
+  wire::PeerFrame frame;
+  frame.mutable_hello()->set_protocol(kPeerProtocolVersion);
+  frame.mutable_hello()->set_service("page");
+  frame.mutable_hello()->set_caller_service("front");
+  frame.mutable_hello()->set_max_frame_bytes(max_frame_bytes);
+  return frame;
+}
+
 /// Tests of messages that one node cannot pass on to another, while other requests are at work on
 /// the same connection.
 class LargeMessageTest : public SidecarNodeFixture {
@@ -257,5 +268,100 @@
   this->ExpectAnswersOfRequestsAtWork();
 }
 
+// Guards against a request that an older node cannot decode, so that it ends the connection.
+TEST_F(LargeMessageTest, OlderPeerSkipsARequestThatIsNotUtf8) {
+  this->StartTwoRequestsAtRawPeer();
+  RawCaller caller(this->fleet.Loop(), this->fleet.RequestAddress(0));
+  caller.Send(TestFleet::MakeRequest("\xff", "write", "POST", "", "x"));
+  ASSERT_TRUE(this->fleet.RunUntil(
+      [this] { return this->peer->Count(wire::PeerFrame::kOpaqueRequest) == 1; }, seconds(1)));
+  EXPECT_EQ(this->peer->Count(wire::PeerFrame::kRequest), 2U);
+}
+
+// Guards against a reply that an older node cannot decode, so that it ends the connection.
+TEST_F(LargeMessageTest, OlderPeerGetsNoReasonPhraseThatIsNotUtf8) {
+  this->Start();
+  this->status_line = "200 \xff";
+  RawPeer old(this->fleet.Loop(), this->fleet.At(1).settings.peer_address, "page", "front");
+  old.Send(RawPeer::MakeRequest(1, "now", false));
+  ASSERT_TRUE(this->fleet.RunUntil([&] { return FindReply(old, 1) != nullptr; }, seconds(1)));
+  EXPECT_EQ(FindReply(old, 1)->status(), 200U);
+  EXPECT_EQ(FindReply(old, 1)->reason(), "");
+  EXPECT_EQ(old.Count(wire::PeerFrame::kHello), 0U);
+}
+
+// Guards against a reply above the limit that the peer has stated, and against a refusal that
+// claims that the request has not run.
+TEST_F(LargeMessageTest, ReplyAboveTheLimitOfThePeerBecomesAnError) {
+  this->Start();
+  RawPeer limited(this->fleet.Loop(), this->fleet.At(1).settings.peer_address, "page", "front");
+  limited.Send(MakeHello(2000));
+  limited.Send({RawPeer::MakeRequest(1, "work", false), RawPeer::MakeRequest(2, "now", false)});
+  ASSERT_TRUE(this->fleet.RunUntil([&] { return FindReply(limited, 2) != nullptr; }, seconds(1)));
+  EXPECT_EQ(FindReply(limited, 2)->status(), 200U);
+  ASSERT_EQ(this->held.size(), 1U);
+  this->held[0].first->Send(
+      TestFleet::MakeResponse(this->held[0].second, std::string(10'000, 'x')));
+  ASSERT_TRUE(this->fleet.RunUntil([&] { return FindReply(limited, 1) != nullptr; }, seconds(1)));
+  EXPECT_EQ(FindReply(limited, 1)->error(), static_cast<std::uint32_t>(ErrorKind::kUpstreamBroken));
+  EXPECT_TRUE(FindReply(limited, 1)->reached_instance());
+  EXPECT_FALSE(limited.IsClosedByPeer());
+}
+
+// Guards against a node that does not state its limit to a peer that has stated its own.
+TEST_F(LargeMessageTest, NodesStateTheirLimits) {
+  this->StartTwoRequestsAtRawPeer();
+  ASSERT_FALSE(this->peer->Received().empty());
+  EXPECT_EQ(this->peer->Received()[0].hello().max_frame_bytes(), std::size_t{16} << 20);
+  RawPeer limited(this->fleet.Loop(), this->fleet.At(0).settings.peer_address, "front", "page");
+  limited.Send(MakeHello(2000));
+  ASSERT_TRUE(this->fleet.RunUntil([&] { return limited.Count(wire::PeerFrame::kHello) == 1; },
+                                   seconds(1)));
+  EXPECT_EQ(limited.Received()[0].hello().max_frame_bytes(), std::size_t{16} << 20);
+}
+
+// Guards against a request above the limit that the peer has stated.
+TEST_F(LargeMessageTest, RequestAboveTheLimitOfThePeerIsNotSent) {
+  this->StartTwoRequestsAtRawPeer();
+  this->peer->Send(MakeHello(2000));
+  this->fleet.RunFor(milliseconds(20));
+  const std::string answer = this->SendRequest(
+      TestFleet::MakeRequest("large", "write", "POST", "", std::string(10'000, 'x')));
+  EXPECT_EQ(StatusOf(answer), 413) << answer;
+  EXPECT_EQ(this->peer->Count(wire::PeerFrame::kRequest), 2U);
+  EXPECT_FALSE(this->peer->IsClosedByPeer());
+}
+
+// Guards against a 413, which promises that the request has not run, after an attempt that may have
+// run.
+TEST_F(LargeMessageTest, RefusalOfARetryDoesNotClaimThatTheRequestHasNotRun) {
+  this->StartTwoRequestsAtRawPeer();
+  RawCaller caller(this->fleet.Loop(), this->fleet.RequestAddress(0));
+  caller.Send(TestFleet::MakeRequest("retried", "read", "GET"));
+  ASSERT_TRUE(this->fleet.RunUntil(
+      [this] { return this->peer->Count(wire::PeerFrame::kRequest) == 3; }, seconds(1)));
+  this->peer.reset();
+  this->acceptor->non_blocking(true);
+  boost::asio::ip::tcp::socket socket(this->fleet.Loop());
+  ASSERT_TRUE(this->fleet.RunUntil(
+      [&] {
+        boost::system::error_code ignored;  // There is no connection yet.
+        if (!socket.is_open()) {
+          this->acceptor->accept(socket, ignored);
+        }
+        return socket.is_open();
+      },
+      seconds(1)));
+  RawPeer second(std::move(socket));
+  ASSERT_TRUE(this->fleet.RunUntil([&] { return second.Count(wire::PeerFrame::kRequest) == 1; },
+                                   seconds(1)));
+  wire::PeerFrame refusal;
+  refusal.mutable_reply()->set_call(second.Received().back().request().call());
+  refusal.mutable_reply()->set_error(static_cast<std::uint32_t>(ErrorKind::kBodyTooLarge));
+  second.Send(refusal);
+  ASSERT_TRUE(this->fleet.RunUntil([&] { return caller.ResponseCount() == 1; }, seconds(1)));
+  EXPECT_EQ(StatusOf(caller.Received()), 502) << caller.Received();
+}
+
 }  // namespace
 }  // namespace masticpin
