Forget the limit of a peer when its connection ends

The limit stayed until the next connection, which was never opened for a request above it. A process with a larger limit at the same address was thus never asked. LimitOfThePeerEndsWithTheConnection failed before: 413 without a new connection.

--- a/sidecar/large_message_test.cc
+++ b/sidecar/large_message_test.cc
@@ -332,6 +332,28 @@
   EXPECT_FALSE(this->peer->IsClosedByPeer());
 }
 
+// Guards against a limit that outlives its connection: nothing above it was sent to the next
+// process at the address, so that its larger limit was never learned.
+TEST_F(LargeMessageTest, LimitOfThePeerEndsWithTheConnection) {
+  this->StartTwoRequestsAtRawPeer();
+  this->peer->Send(MakeHello(2000));
+  this->fleet.RunFor(milliseconds(20));
+  this->peer.reset();
+  this->fleet.RunFor(milliseconds(20));
+  RawCaller caller(this->fleet.Loop(), this->fleet.RequestAddress(0));
+  caller.Send(TestFleet::MakeRequest("large", "write", "POST", "", std::string(10'000, 'x')));
+  this->fleet.RunFor(milliseconds(100));
+  EXPECT_EQ(caller.ResponseCount(), 0) << caller.Received();
+  this->acceptor->non_blocking(true);
+  boost::system::error_code error;
+  boost::asio::ip::tcp::socket socket(this->fleet.Loop());
+  this->acceptor->accept(socket, error);
+  ASSERT_FALSE(error) << "no new connection";
+  RawPeer next(std::move(socket));
+  EXPECT_TRUE(
+      this->fleet.RunUntil([&] { return next.Count(wire::PeerFrame::kRequest) == 1; }, seconds(1)));
+}
+
 // Guards against a 413, which promises that the request has not run, after an attempt that may have
 // run.
 TEST_F(LargeMessageTest, RefusalOfARetryDoesNotClaimThatTheRequestHasNotRun) {
--- a/sidecar/peer_link.cc
+++ b/sidecar/peer_link.cc
@@ -162,7 +162,6 @@
   hello.mutable_hello()->set_service(this->service);
   hello.mutable_hello()->set_caller_service(this->local_service);
   hello.mutable_hello()->set_answers_receiver(true);
-  this->frame_limit = FrameSizeLimit();
   FrameSizeLimit::Announce(*hello.mutable_hello());
   this->stream->Send(hello);
   for (wire::PeerFrame& frame : this->waiting) {
@@ -380,6 +379,7 @@
   this->timers.Cancel(*this);
   this->connecting_socket.reset();
   this->waiting.clear();
+  this->frame_limit = FrameSizeLimit();
   if (this->stream != nullptr) {
     // Nobody waits for the requests that have not arrived.
     this->stream->Abort();
