--- a/sidecar/peer_link.cc
+++ b/sidecar/peer_link.cc
@@ -7,6 +7,7 @@
 
 #include "sidecar/peer_protocol.h"
 #include "sidecar/tcp_address.h"
+#include "sidecar/utf8.h"
 
 namespace masticpin {
 namespace {
@@ -64,6 +65,14 @@
   const TimePoint now = this->clock.Now();
   frame.mutable_request()->set_sender_clock_us(ToClockMicroseconds(now));
   frame.mutable_request()->set_configuration_version(this->catalog_store.ConfigurationVersion());
+  if (!this->frame_limit.Allows(frame)) {
+    spdlog::warn("event=request_too_large peer={} id={} bytes={}", this->instance,
+                 frame.request().request_id(), frame.ByteSizeLong());
+    wire::ExecutionReply refusal;
+    refusal.set_error(static_cast<std::uint32_t>(ErrorKind::kBodyTooLarge));
+    call_observer.OnExecutionReply(refusal);
+    return;
+  }
   if (this->calls.empty() && !this->silent) {
     // A peer may send nothing while no request is in progress, so silence is measured from this
     // one.
@@ -81,7 +90,7 @@
       this->waiting.push_back(std::move(frame));
       break;
     case State::kOpen:
-      this->stream->Send(frame);
+      this->SendRequest(frame);
       if (!this->keep_alive_pending) {
         this->timers.Schedule(*this, this->last_contact + kSilenceBeforeKeepAlive);
       }
@@ -89,6 +98,15 @@
   }
 }
 
+void PeerLink::SendRequest(wire::PeerFrame& frame) {
+  const wire::ExecutionRequest& request = frame.request();
+  if (!IsUtf8(request.target()) || !IsUtf8(request.request_id()) || !IsUtf8(request.method())) {
+    const std::unique_ptr<wire::ExecutionRequest> opaque(frame.release_request());
+    frame.mutable_opaque_request()->Swap(opaque.get());
+  }
+  this->stream->Send(frame);
+}
+
 void PeerLink::Cancel(std::uint64_t call) {
   this->lost_calls.erase(call);
   if (this->calls.erase(call) == 0) {
@@ -150,9 +168,10 @@
   hello.mutable_hello()->set_service(this->service);
   hello.mutable_hello()->set_caller_service(this->local_service);
   hello.mutable_hello()->set_answers_receiver(true);
+  FrameSizeLimit::Announce(*hello.mutable_hello());
   this->stream->Send(hello);
-  for (const wire::PeerFrame& frame : this->waiting) {
-    this->stream->Send(frame);
+  for (wire::PeerFrame& frame : this->waiting) {
+    this->SendRequest(frame);
   }
   this->waiting.clear();
   this->stream->Start();
@@ -162,6 +181,9 @@
   const Ref<PeerLink> keep(this);
   this->UpdateContact(this->clock.Now());
   switch (frame.body_case()) {
+    case wire::PeerFrame::kHello:
+      this->frame_limit.OnHello(frame.hello());
+      break;
     case wire::PeerFrame::kReply: {
       const wire::ExecutionReply& reply = frame.reply();
       this->ReportLoad(reply.load());
@@ -205,6 +227,24 @@
   }
 }
 
+void PeerLink::OnUnreadableFrame(const UnreadableFrame& frame) {
+  const Ref<PeerLink> keep(this);
+  this->UpdateContact(this->clock.Now());
+  spdlog::warn("event=frame_unreadable peer={} frame={} call={} bytes={} reason={}", this->instance,
+               static_cast<int>(frame.kind), frame.call, frame.bytes, ReasonName(frame.reason));
+  const auto found = this->calls.find(frame.call);
+  if (frame.kind != wire::PeerFrame::kReply || found == this->calls.end()) {
+    return;
+  }
+  ExecutionObserver* const finished_observer = found->second.observer;
+  this->calls.erase(found);
+  // The reply may be the response of the instance.
+  wire::ExecutionReply reply;
+  reply.set_error(static_cast<std::uint32_t>(ErrorKind::kUpstreamBroken));
+  reply.set_reached_instance(true);
+  finished_observer->OnExecutionReply(reply);
+}
+
 void PeerLink::Confirm(std::uint64_t call) {
   const auto found = this->calls.find(call);
   if (found == this->calls.end()) {
@@ -357,6 +397,7 @@
   this->timers.Cancel(*this);
   this->connecting_socket.reset();
   this->waiting.clear();
+  this->frame_limit = FrameSizeLimit();
   if (this->stream != nullptr) {
     // Nobody waits for the requests that have not arrived.
     this->stream->Abort();
--- a/sidecar/peer_link.h
+++ b/sidecar/peer_link.h
@@ -12,6 +12,7 @@
 #include "masticpin/base/socket_address.h"
 #include "masticpin/base/timer_service.h"
 #include "sidecar/catalog_store.h"
+#include "sidecar/frame_size_limit.h"
 #include "sidecar/frame_stream.h"
 #include "sidecar/peer_link_observer.h"
 #include "sidecar/request_executor.h"
@@ -66,10 +67,12 @@
   enum class State : std::uint8_t { kClosed, kConnecting, kOpen };
 
   void OnFrame(wire::PeerFrame& frame) override;
+  void OnUnreadableFrame(const UnreadableFrame& frame) override;
   void OnStreamClosed(std::string_view reason) override;
   void OnTimer(TimePoint now) override;
   /// Answers the peer's question whether a request is still wanted.
   void Confirm(std::uint64_t call);
+  void SendRequest(wire::PeerFrame& frame);
   void Connect();
   void OnConnected();
   void SendKeepAlive(TimePoint now);
@@ -96,6 +99,8 @@
   State state = State::kClosed;
   std::unique_ptr<boost::asio::ip::tcp::socket> connecting_socket;
   Ref<FrameStream> stream;
+  /// Limit of the connection; the default until the peer's hello arrives.
+  FrameSizeLimit frame_limit;
   /// Requests that wait for the connection to be established.
   std::vector<wire::PeerFrame> waiting;
   std::map<std::uint64_t, Call> calls;
--- a/sidecar/peer_session.cc
+++ b/sidecar/peer_session.cc
@@ -8,6 +8,7 @@
 
 #include "sidecar/peer_protocol.h"
 #include "sidecar/tcp_connection_state.h"
+#include "sidecar/utf8.h"
 
 namespace masticpin {
 namespace {
@@ -153,6 +154,7 @@
   *frame.mutable_reply() = reply;
   frame.mutable_reply()->set_call(peer_call_id);
   frame.mutable_reply()->set_configuration_version(this->catalog_store.ConfigurationVersion());
+  this->FitReply(frame);
   this->stream->Send(frame);
   this->replied_at = this->clock.Now();
 }
@@ -174,17 +176,14 @@
   this->UpdateContact(this->clock.Now());
   switch (frame.body_case()) {
     case wire::PeerFrame::kHello:
-      if (frame.hello().protocol() != kPeerProtocolVersion) {
-        spdlog::warn("event=unknown_peer_protocol protocol={}", frame.hello().protocol());
-        this->Close();
-      }
-      this->caller_service = frame.hello().caller_service();
-      this->service_matches = frame.hello().service() == this->local_service;
-      this->answers_receiver = frame.hello().answers_receiver();
+      this->OnHello(frame.hello());
       break;
     case wire::PeerFrame::kRequest:
       this->OnRequest(*frame.mutable_request());
       break;
+    case wire::PeerFrame::kOpaqueRequest:
+      this->OnRequest(*frame.mutable_opaque_request());
+      break;
     case wire::PeerFrame::kCancel: {
       const auto found = this->executions.find(frame.cancel().call());
       if (found != this->executions.end()) {
@@ -220,6 +219,63 @@
   }
 }
 
+void PeerSession::OnHello(const wire::PeerHello& hello) {
+  if (hello.protocol() != kPeerProtocolVersion) {
+    spdlog::warn("event=unknown_peer_protocol protocol={}", hello.protocol());
+    this->Close();
+  }
+  this->caller_service = hello.caller_service();
+  this->service_matches = hello.service() == this->local_service;
+  this->answers_receiver = hello.answers_receiver();
+  this->frame_limit.OnHello(hello);
+  if (this->frame_limit.IsAnnounced()) {
+    wire::PeerFrame frame;
+    frame.mutable_hello()->set_protocol(kPeerProtocolVersion);
+    FrameSizeLimit::Announce(*frame.mutable_hello());
+    this->stream->Send(frame);
+  }
+}
+
+void PeerSession::FitReply(wire::PeerFrame& frame) const {
+  wire::ExecutionReply& reply = *frame.mutable_reply();
+  if (!this->frame_limit.IsAnnounced() && !IsUtf8(reply.reason())) {
+    reply.clear_reason();  // An older peer cannot decode it.
+  }
+  if (this->frame_limit.Allows(frame)) {
+    return;
+  }
+  spdlog::warn("event=reply_too_large caller_service={} call={} bytes={}", this->caller_service,
+               reply.call(), frame.ByteSizeLong());
+  // The request has run, so that its outcome is unknown to a caller that cannot get the response.
+  reply.set_error(static_cast<std::uint32_t>(ErrorKind::kUpstreamBroken));
+  reply.clear_status();
+  reply.clear_reason();
+  reply.clear_header_lines();
+  reply.clear_body();
+}
+
+void PeerSession::OnUnreadableFrame(const UnreadableFrame& frame) {
+  const Ref<PeerSession> keep(this);
+  this->UpdateContact(this->clock.Now());
+  spdlog::warn("event=frame_unreadable caller_service={} frame={} call={} bytes={} reason={}",
+               this->caller_service, static_cast<int>(frame.kind), frame.call, frame.bytes,
+               ReasonName(frame.reason));
+  if (frame.kind != wire::PeerFrame::kRequest || frame.call == 0 ||
+      this->executions.contains(frame.call)) {
+    return;
+  }
+  const ErrorKind error = frame.reason == UnreadableFrame::Reason::kTooLarge
+                              ? ErrorKind::kBodyTooLarge
+                              : ErrorKind::kMalformedRequest;
+  wire::PeerFrame reply;
+  reply.mutable_reply()->set_call(frame.call);
+  reply.mutable_reply()->set_error(static_cast<std::uint32_t>(error));
+  reply.mutable_reply()->set_configuration_version(this->catalog_store.ConfigurationVersion());
+  EncodeLoadReport(this->executor.GetLoad(), *reply.mutable_reply()->mutable_load());
+  this->stream->Send(reply);
+  this->replied_at = this->clock.Now();
+}
+
 void PeerSession::OnStreamClosed(std::string_view reason) {
   if (!this->executions.empty()) {
     spdlog::info("event=peer_session_closed requests={} reason=\"{}\"", this->executions.size(),
