Count bodies of requests from the time they arrive

The bound of request bodies counted a body only once it was complete, and bodies from peers not at all.

BodyMemory is one account for the callers and peers of a process. An announced length is reserved when the header is complete, a chunked body as it grows, and the request of a peer when its frame is complete. Small bodies have a share of their own. A caller that is refused gets 503 with Retry-After and Connection: close; the rest of its body is read and discarded for 10 s, so that no reset discards the response. A peer gets the reply "overloaded".

--- /dev/null
+++ b/masticpin/admission/body_memory_test.cc
@@ -0,0 +1,91 @@
+#include "masticpin/admission/body_memory.h"
+
+#include <gtest/gtest.h>
+
+#include <limits>
+#include <random>
+#include <utility>
+#include <vector>
+
+#include "masticpin/admission/body_reservation.h"
+
+namespace masticpin {
+namespace {
+
+constexpr std::size_t kSmall = 64;
+constexpr std::size_t kSmallShare = 256;
+constexpr std::size_t kLargeShare = 1000;
+constexpr BodyMemorySettings kSettings{kSmall, kSmallShare, kLargeShare};
+
+// Guards against large uploads that keep small requests out.
+TEST(BodyMemoryTest, SmallBodiesFitBesideLargeOnes) {
+  BodyMemory memory(kSettings);
+  BodyReservation large(memory);
+  ASSERT_TRUE(large.Grow(kLargeShare));
+  BodyReservation refused(memory);
+  EXPECT_FALSE(refused.Grow(kSmall + 1));
+  EXPECT_EQ(refused.Bytes(), 0U);
+  BodyReservation small(memory);
+  EXPECT_TRUE(small.Grow(kSmall));
+  EXPECT_EQ(memory.Refusals(), 1U);
+  large.Release();
+  EXPECT_TRUE(refused.Grow(kLargeShare));
+}
+
+// Guards against an announced size whose sum with the others overflows.
+TEST(BodyMemoryTest, HugeSizesAreRefused) {
+  BodyMemory memory(kSettings);
+  BodyReservation first(memory);
+  ASSERT_TRUE(first.Grow(500));
+  BodyReservation huge(memory);
+  EXPECT_FALSE(huge.Grow(std::numeric_limits<std::size_t>::max()));
+  EXPECT_EQ(memory.LargeBytes(), 500U);
+}
+
+// Guards against a body whose growth beyond the small size is counted in both shares or in none.
+TEST(BodyMemoryTest, GrowingBodyMovesToTheLargeShare) {
+  BodyMemory memory(kSettings);
+  BodyReservation body(memory);
+  ASSERT_TRUE(body.Grow(kSmall));
+  EXPECT_EQ(memory.SmallBytes(), kSmall);
+  ASSERT_TRUE(body.Grow(kSmall + 1));
+  EXPECT_EQ(memory.SmallBytes(), 0U);
+  EXPECT_EQ(memory.LargeBytes(), kSmall + 1);
+  const BodyReservation moved = std::move(body);
+  EXPECT_EQ(memory.LargeBytes(), kSmall + 1);
+}
+
+// Guards against sums beyond the bounds and against bytes that are never released, in any order of
+// arrival, growth, transfer and end.
+TEST(BodyMemoryTest, SumsStayWithinBoundsAndReturnToZero) {
+  for (std::uint32_t seed = 1; seed <= 50; ++seed) {
+    std::mt19937 random(seed);
+    BodyMemory memory(kSettings);
+    std::vector<BodyReservation> bodies;
+    for (int step = 0; step < 2000; ++step) {
+      const std::size_t choice = random() % 4;
+      if (choice == 0 || bodies.empty()) {
+        bodies.emplace_back(memory);
+      } else if (choice == 1) {
+        bodies.erase(bodies.begin() + static_cast<std::ptrdiff_t>(random() % bodies.size()));
+      } else {
+        BodyReservation& body = bodies[random() % bodies.size()];
+        const std::size_t before = body.Bytes();
+        const std::size_t wanted = before + random() % 200;
+        EXPECT_EQ(body.Bytes(), body.Grow(wanted) ? wanted : before);
+      }
+      std::size_t sum = 0;
+      for (const BodyReservation& body : bodies) {
+        sum += body.Bytes();
+      }
+      ASSERT_EQ(memory.SmallBytes() + memory.LargeBytes(), sum) << "seed " << seed;
+      ASSERT_LE(memory.SmallBytes(), kSmallShare) << "seed " << seed;
+      ASSERT_LE(memory.LargeBytes(), kLargeShare) << "seed " << seed;
+    }
+    bodies.clear();
+    ASSERT_EQ(memory.SmallBytes() + memory.LargeBytes(), 0U) << "seed " << seed;
+  }
+}
+
+}  // namespace
+}  // namespace masticpin
--- /dev/null
+++ b/masticpin/admission/body_reservation.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <cstddef>
+
+#include "masticpin/admission/body_memory.h"
+
+namespace masticpin {
+
+/// The memory of one body in a BodyMemory. Releases it on destruction.
+class BodyReservation {
+ public:
+  /// Reserves nothing.
+  BodyReservation() = default;
+  /// Reserves nothing yet. `memory` must outlive the reservation.
+  explicit BodyReservation(BodyMemory& memory) : memory(&memory) {}
+  BodyReservation(BodyReservation&& other) noexcept;
+  BodyReservation& operator=(BodyReservation&& other) noexcept;
+  ~BodyReservation() { this->Release(); }
+
+  /// Enlarges the reservation to `bytes`; a smaller number changes nothing. Returns false, and
+  /// changes nothing, if the account has no room for it.
+  bool Grow(std::size_t bytes);
+
+  void Release();
+
+  std::size_t Bytes() const { return this->bytes; }
+
+ private:
+  BodyMemory* memory = nullptr;
+  std::size_t bytes = 0;
+  /// Whether the bytes count toward the share of small bodies.
+  bool in_small_share = false;
+};
+
+}  // namespace masticpin
--- a/sidecar/http_exchange.h
+++ b/sidecar/http_exchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "masticpin/admission/body_reservation.h"
 #include "masticpin/base/ref_counted.h"
 #include "masticpin/base/time.h"
 #include "sidecar/caller_observer.h"
@@ -13,7 +14,11 @@
 /// One request of a caller, and its place in the order of responses on the connection.
 class HttpExchange : public RefCounted<HttpExchange> {
  public:
-  HttpExchange(HttpSession& session, HttpRequest request, TimePoint arrived_at);
+  /// `body_memory` is released with the exchange.
+  HttpExchange(HttpSession& session,
+               HttpRequest request,
+               BodyReservation body_memory,
+               TimePoint arrived_at);
 
   const HttpRequest& Request() const { return this->request; }
   HttpRequest& Request() { return this->request; }
@@ -33,6 +38,7 @@
   /// The connection; nullptr after it was closed.
   HttpSession* session;
   HttpRequest request;
+  const BodyReservation body_memory;
   const TimePoint arrived_at;
   CallerObserver* observer = nullptr;
   bool responded = false;
--- a/sidecar/http_listener.cc
+++ b/sidecar/http_listener.cc
@@ -7,9 +7,14 @@
 
 HttpListener::HttpListener(boost::asio::io_context& loop,
                            HttpHandler& handler,
+                           BodyMemory& body_memory,
                            const Clock& clock,
                            TimerService& timers)
-    : acceptor(loop, *this, clock, timers), handler(handler), clock(clock), timers(timers) {}
+    : acceptor(loop, *this, clock, timers),
+      handler(handler),
+      body_memory(body_memory),
+      clock(clock),
+      timers(timers) {}
 
 HttpListener::~HttpListener() {
   while (!this->sessions.empty()) {
@@ -25,8 +30,8 @@
 void HttpListener::OnConnection(boost::asio::ip::tcp::socket socket) {
   boost::system::error_code ignored;  // The connection works without the option.
   socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-  const Ref<HttpSession> session(
-      new HttpSession(std::move(socket), this->handler, this->clock, this->timers));
+  const Ref<HttpSession> session(new HttpSession(std::move(socket), this->handler,
+                                                 this->body_memory, this->clock, this->timers));
   this->sessions.push_back(*session);
   session->Start();
 }
--- a/sidecar/http_listener.h
+++ b/sidecar/http_listener.h
@@ -5,6 +5,7 @@
 #include <boost/intrusive/list.hpp>
 #include <string>
 
+#include "masticpin/admission/body_memory.h"
 #include "masticpin/base/clock.h"
 #include "masticpin/base/socket_address.h"
 #include "masticpin/base/timer_service.h"
@@ -20,6 +21,7 @@
   /// All arguments must outlive the listener.
   HttpListener(boost::asio::io_context& loop,
                HttpHandler& handler,
+               BodyMemory& body_memory,
                const Clock& clock,
                TimerService& timers);
   ~HttpListener() override;
@@ -38,6 +40,7 @@
 
   TcpAcceptor acceptor;
   HttpHandler& handler;
+  BodyMemory& body_memory;
   const Clock& clock;
   TimerService& timers;
   boost::intrusive::list<HttpSession, boost::intrusive::constant_time_size<false>> sessions;
--- a/sidecar/http_session.cc
+++ b/sidecar/http_session.cc
@@ -1,5 +1,6 @@
 #include "sidecar/http_session.h"
 
+#include <spdlog/fmt/fmt.h>
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
@@ -37,6 +38,17 @@
 /// While the connection is not read, its end is looked for at this interval.
 constexpr Duration kCloseCheckInterval = std::chrono::milliseconds(100);
 
+/// After a body was refused, the caller has this time to send the rest of it and to read the
+/// response, and otherwise the shorter time to read the response.
+constexpr Duration kRefusedBodyTimeout = std::chrono::seconds(10);
+constexpr Duration kLastResponseTimeout = std::chrono::seconds(1);
+
+/// A caller whose body was refused is told to retry after a time between these, because uploads
+/// take seconds. The step spreads callers that are refused together over the whole range.
+constexpr std::uint64_t kMinRetryAfterMs = 500;
+constexpr std::uint64_t kRetryAfterRangeMs = 1001;
+constexpr std::uint64_t kRetryAfterStepMs = 389;
+
 /// Maximum size of the line before a chunk, and of the trailer fields. The parser consumes them
 /// only when they are complete.
 constexpr std::size_t kMaxChunkLineBytes = std::size_t{16} << 10;
@@ -45,9 +57,14 @@
 
 HttpSession::HttpSession(boost::asio::ip::tcp::socket socket,
                          HttpHandler& handler,
+                         BodyMemory& body_memory,
                          const Clock& clock,
                          TimerService& timers)
-    : socket(std::move(socket)), handler(handler), clock(clock), timers(timers) {}
+    : socket(std::move(socket)),
+      handler(handler),
+      body_memory(body_memory),
+      clock(clock),
+      timers(timers) {}
 
 HttpSession::~HttpSession() = default;
 
@@ -81,6 +98,7 @@
   const Ref<HttpSession> keep = std::move(this->self);
   this->closed = true;
   this->timers.Cancel(*this);
+  this->body_reservation.Release();
   this->HttpSessionHook::unlink();
   boost::system::error_code ignored;  // The connection is closed even if this fails.
   this->socket.close(ignored);
@@ -172,6 +190,12 @@
     if (!this->Parse()) {
       return;
     }
+  } else if (this->discardable_bytes) {
+    if (bytes > *this->discardable_bytes) {
+      this->Close("refused body is too large");
+      return;
+    }
+    *this->discardable_bytes -= bytes;
   }
   this->Read();
 }
@@ -182,6 +206,7 @@
   this->parser->eager(true);
   this->parser->header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
   this->parser->body_limit(limits.max_body_bytes);
+  this->body_reservation = BodyReservation(this->body_memory);
   this->continue_sent = false;
   this->header_checked = false;
 }
@@ -213,7 +238,7 @@
       }
       break;
     }
-    if (!this->CheckHeader()) {
+    if (!this->CheckHeader() || !this->ReserveBody()) {
       break;
     }
     if (this->parser->is_done()) {
@@ -268,6 +293,26 @@
   return true;
 }
 
+bool HttpSession::ReserveBody() {
+  if (!this->parser->is_header_done()) {
+    return true;
+  }
+  const std::uint64_t arrived = this->parser->get().body().size();
+  const std::uint64_t announced = this->parser->content_length().value_or(arrived);
+  if (this->body_reservation.Grow(std::max(arrived, announced))) {
+    return true;
+  }
+  spdlog::warn("event=body_refused bytes={} arrived={} large_bytes={} small_bytes={}", announced,
+               arrived, this->body_memory.LargeBytes(), this->body_memory.SmallBytes());
+  this->discardable_bytes = this->handler.Limits().max_body_bytes;
+  const std::uint64_t retry_after_ms =
+      kMinRetryAfterMs + this->body_memory.Refusals() * kRetryAfterStepMs % kRetryAfterRangeMs;
+  this->RejectMessage(
+      503, "Service Unavailable",
+      fmt::format("Retry-After: {}.{:03}\r\n", retry_after_ms / 1000, retry_after_ms % 1000));
+  return false;
+}
+
 void HttpSession::OnMessage() {
   auto message = this->parser->release();
   this->parser.reset();
@@ -285,19 +330,25 @@
   }
   // Anything after the last request of a connection is ignored.
   this->input_ended = !request.keep_alive;
-  Ref<HttpExchange> exchange(new HttpExchange(*this, std::move(request), this->clock.Now()));
+  Ref<HttpExchange> exchange(new HttpExchange(
+      *this, std::move(request), std::move(this->body_reservation), this->clock.Now()));
   this->exchanges.push_back(exchange);
   this->handler.OnRequest(std::move(exchange));
 }
 
-void HttpSession::RejectMessage(int status, std::string_view reason) {
+void HttpSession::RejectMessage(int status,
+                                std::string_view reason,
+                                std::string_view header_lines) {
   this->input_ended = true;
   this->input.clear();
+  this->parser.reset();
+  this->body_reservation.Release();
   HttpRequest request;
   request.keep_alive = false;
-  Ref<HttpExchange> exchange(new HttpExchange(*this, std::move(request), this->clock.Now()));
+  Ref<HttpExchange> exchange(
+      new HttpExchange(*this, std::move(request), BodyReservation(), this->clock.Now()));
   this->exchanges.push_back(exchange);
-  exchange->Respond(OutgoingResponse{status, std::string(reason), "", ""});
+  exchange->Respond(OutgoingResponse{status, std::string(reason), std::string(header_lines), ""});
 }
 
 void HttpSession::OnResponse(HttpExchange& exchange, const OutgoingResponse& outgoing_response) {
@@ -366,8 +417,8 @@
   this->responded_at = this->clock.Now();
   if (this->close_after_write) {
     // Shuts down only the sending side, and closes the socket when the caller has closed its side
-    // or after a second: closing a socket with unread bytes resets the connection and could discard
-    // the response in transit.
+    // or after a timeout: closing a socket with unread bytes resets the connection and could
+    // discard the response in transit.
     boost::system::error_code ignored;
     this->socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
     if (!this->reading) {
@@ -375,7 +426,9 @@
       return;
     }
     this->waiting_since = this->clock.Now();
-    this->timers.Schedule(*this, this->waiting_since + std::chrono::seconds(1));
+    this->timers.Schedule(
+        *this, this->waiting_since +
+                   (this->discardable_bytes ? kRefusedBodyTimeout : kLastResponseTimeout));
     return;
   }
   if (this->output.capacity() > kMaxRetainedOutputBytes) {
@@ -388,8 +441,14 @@
   }
 }
 
-HttpExchange::HttpExchange(HttpSession& session, HttpRequest request, TimePoint arrived_at)
-    : session(&session), request(std::move(request)), arrived_at(arrived_at) {}
+HttpExchange::HttpExchange(HttpSession& session,
+                           HttpRequest request,
+                           BodyReservation body_memory,
+                           TimePoint arrived_at)
+    : session(&session),
+      request(std::move(request)),
+      body_memory(std::move(body_memory)),
+      arrived_at(arrived_at) {}
 
 void HttpExchange::Respond(const OutgoingResponse& outgoing_response) {
   if (this->responded || this->session == nullptr) {
--- a/sidecar/http_session.h
+++ b/sidecar/http_session.h
@@ -10,6 +10,8 @@
 #include <string>
 #include <string_view>
 
+#include "masticpin/admission/body_memory.h"
+#include "masticpin/admission/body_reservation.h"
 #include "masticpin/base/clock.h"
 #include "masticpin/base/ref_counted.h"
 #include "masticpin/base/timer_service.h"
@@ -31,6 +33,7 @@
  public:
   HttpSession(boost::asio::ip::tcp::socket socket,
               HttpHandler& handler,
+              BodyMemory& body_memory,
               const Clock& clock,
               TimerService& timers);
   ~HttpSession() override;
@@ -66,8 +69,11 @@
   /// Checks the header once it is complete. Returns false if the request was rejected.
   bool CheckHeader();
   void OnMessage();
-  /// Responds to a request that could not be parsed, as the last one of the connection.
-  void RejectMessage(int status, std::string_view reason);
+  /// Reserves the memory of the request's body: all of it if its length is announced, otherwise
+  /// what has arrived. Returns false if the request was rejected.
+  bool ReserveBody();
+  /// Responds to a request that is not passed on, as the last one of the connection.
+  void RejectMessage(int status, std::string_view reason, std::string_view header_lines = "");
   void OnResponse(HttpExchange& exchange, const OutgoingResponse& outgoing_response);
   void WriteReadyResponses();
   void OnWritten(const boost::system::error_code& error);
@@ -76,10 +82,15 @@
 
   boost::asio::ip::tcp::socket socket;
   HttpHandler& handler;
+  BodyMemory& body_memory;
   const Clock& clock;
   TimerService& timers;
 
   std::optional<Parser> parser;
+  /// Memory of the body that is being read.
+  BodyReservation body_reservation;
+  /// Bytes of a refused body that may still be read and discarded.
+  std::optional<std::uint64_t> discardable_bytes;
   std::unique_ptr<char[]> read_buffer;
   /// Bytes that were read but not yet parsed.
   std::string input;
--- a/sidecar/peer_listener.cc
+++ b/sidecar/peer_listener.cc
@@ -20,6 +20,7 @@
                            LocalExecutor& executor,
                            std::string local_service,
                            CatalogStore& catalog_store,
+                           BodyMemory& body_memory,
                            const Clock& clock,
                            TimerService& timers)
     : acceptor(loop, *this, clock, timers),
@@ -27,7 +28,8 @@
       timers(timers),
       executor(executor),
       local_service(std::move(local_service)),
-      catalog_store(catalog_store) {}
+      catalog_store(catalog_store),
+      body_memory(body_memory) {}
 
 PeerListener::~PeerListener() {
   while (!this->sessions.empty()) {
@@ -67,9 +69,9 @@
   if (this->sessions.empty()) {
     this->timers.Schedule(*this, this->clock.Now() + kPeerCheckInterval);
   }
-  const Ref<PeerSession> session(new PeerSession(std::move(socket), this->executor,
-                                                 this->local_service, this->catalog_store,
-                                                 this->next_call_id, this->clock, this->timers));
+  const Ref<PeerSession> session(
+      new PeerSession(std::move(socket), this->executor, this->local_service, this->catalog_store,
+                      this->body_memory, this->next_call_id, this->clock, this->timers));
   this->sessions.push_back(*session);
   session->Start();
   if (this->leaving) {
--- a/sidecar/peer_session.cc
+++ b/sidecar/peer_session.cc
@@ -26,12 +26,14 @@
                          LocalExecutor& executor,
                          const std::string& local_service,
                          CatalogStore& catalog_store,
+                         BodyMemory& body_memory,
                          std::uint64_t& next_call_id,
                          const Clock& clock,
                          TimerService& timers)
     : executor(executor),
       local_service(local_service),
       catalog_store(catalog_store),
+      body_memory(body_memory),
       next_call_id(next_call_id),
       clock(clock),
       timers(timers),
@@ -200,6 +202,17 @@
     added.OnExecutionReply(refusal);
     return;
   }
+  if (!added.ReserveBody(request.body().size())) {
+    spdlog::warn(
+        "event=body_refused id={} caller_service={} bytes={} large_bytes={} small_bytes={}",
+        request.request_id(), this->caller_service, request.body().size(),
+        this->body_memory.LargeBytes(), this->body_memory.SmallBytes());
+    wire::ExecutionReply refusal;
+    refusal.set_error(static_cast<std::uint32_t>(ErrorKind::kOverloaded));
+    EncodeLoadReport(this->executor.GetLoad(), *refusal.mutable_load());
+    added.OnExecutionReply(refusal);
+    return;
+  }
   request.set_call(call);
   request.set_caller_service(this->caller_service);
   if (this->MayBeDelayed(request) && this->answers_receiver) {
--- a/sidecar/peer_session.h
+++ b/sidecar/peer_session.h
@@ -6,6 +6,8 @@
 #include <map>
 #include <memory>
 
+#include "masticpin/admission/body_memory.h"
+#include "masticpin/admission/body_reservation.h"
 #include "masticpin/base/clock.h"
 #include "masticpin/base/ref_counted.h"
 #include "masticpin/base/timer_service.h"
@@ -31,6 +33,7 @@
               LocalExecutor& executor,
               const std::string& local_service,
               CatalogStore& catalog_store,
+              BodyMemory& body_memory,
               std::uint64_t& next_call_id,
               const Clock& clock,
               TimerService& timers);
@@ -60,7 +63,13 @@
   class Execution : public ExecutionObserver, private TimerSubscriber {
    public:
     Execution(PeerSession& session, std::uint64_t peer_call_id, std::uint64_t call)
-        : session(session), peer_call_id(peer_call_id), call(call) {}
+        : session(session),
+          body_reservation(session.body_memory),
+          peer_call_id(peer_call_id),
+          call(call) {}
+
+    /// Reserves the memory of the request's body. Returns false if there is none.
+    bool ReserveBody(std::size_t bytes) { return this->body_reservation.Grow(bytes); }
 
     /// Passes the request to the executor.
     void Start(wire::ExecutionRequest request);
@@ -80,6 +89,7 @@
     void OnTimer(TimePoint now) override;
 
     PeerSession& session;
+    BodyReservation body_reservation;
     /// Id of the call at the peer, and at the local executor.
     const std::uint64_t peer_call_id;
     const std::uint64_t call;
@@ -98,6 +108,7 @@
   LocalExecutor& executor;
   const std::string& local_service;
   CatalogStore& catalog_store;
+  BodyMemory& body_memory;
   std::uint64_t& next_call_id;
   const Clock& clock;
   TimerService& timers;
--- a/sidecar/request_router.h
+++ b/sidecar/request_router.h
@@ -33,8 +33,6 @@
   std::string service;
   /// Address of the local instance, whose requests are executed without a connection to a peer.
   SocketAddress upstream_address;
-  /// Total size of the request bodies in progress above which new requests are refused.
-  std::size_t max_body_bytes_in_progress = std::size_t{32} << 20;
 };
 
 /// Handles the requests that originate on this machine, those of callers and the inner calls of the
@@ -111,7 +109,6 @@
   std::uint64_t next_call_id = 1;
   boost::intrusive::list<UnfinishedRequest, boost::intrusive::constant_time_size<false>>
       unfinished_requests;
-  std::size_t body_bytes_in_progress = 0;
 };
 
 }  // namespace masticpin
--- a/sidecar/routed_request.cc
+++ b/sidecar/routed_request.cc
@@ -53,12 +53,10 @@
 RoutedRequest::RoutedRequest(RequestRouter& router, Ref<HttpExchange> exchange)
     : router(router), exchange(std::move(exchange)), configuration(router.configuration) {
   router.unfinished_requests.push_back(*this);
-  router.body_bytes_in_progress += this->exchange->Request().body.size();
 }
 
 RoutedRequest::~RoutedRequest() {
   this->exchange->SetObserver(nullptr);
-  this->router.body_bytes_in_progress -= this->exchange->Request().body.size();
 }
 
 void RoutedRequest::Start() {
@@ -79,11 +77,6 @@
     this->Refuse(ErrorKind::kDraining, Duration::zero(), "the node is shutting down");
     return;
   }
-  if (this->router.body_bytes_in_progress > this->router.settings.max_body_bytes_in_progress) {
-    this->Refuse(ErrorKind::kOverloaded, kMaxRetryAfter,
-                 "too many bytes of request bodies in progress");
-    return;
-  }
 
   // Refuses requests of callers here if services further down the call chain are overloaded.
   if (!this->inner) {
--- a/sidecar/sidecar_node.cc
+++ b/sidecar/sidecar_node.cc
@@ -24,15 +24,25 @@
 /// While the registry is unavailable, peers are queried once per second.
 constexpr std::uint32_t kTicksPerCatalogRequest = 4;
 
-/// Share of the memory that the bodies of requests may take, and the same for those of responses. A
-/// body exists several times while it is passed on, so an eighth of each leaves room for the rest.
+/// Share of the memory that the large bodies of requests may take, and the same for those of
+/// responses. A body exists several times while it is passed on, so an eighth of each leaves room
+/// for the rest.
 constexpr std::size_t kBodyMemoryDivisor = 8;
 
+/// Share of the memory that is reserved for the small bodies of requests.
+constexpr std::size_t kSmallBodyMemoryDivisor = 32;
+
+BodyMemorySettings MakeBodyMemorySettings(const SidecarSettings& settings) {
+  BodyMemorySettings memory;
+  memory.large_share_bytes = (settings.memory_mb << 20) / kBodyMemoryDivisor;
+  memory.small_share_bytes = (settings.memory_mb << 20) / kSmallBodyMemoryDivisor;
+  return memory;
+}
+
 RequestRouterSettings MakeRouterSettings(const SidecarSettings& settings) {
   RequestRouterSettings router;
   router.service = settings.service;
   router.upstream_address = settings.upstream_address;
-  router.max_body_bytes_in_progress = (settings.memory_mb << 20) / kBodyMemoryDivisor;
   return router;
 }
 
@@ -65,6 +75,7 @@
       read_settings(std::move(read_settings)),
       source(source),
       stop(MakeStopSettings(settings)),
+      body_memory(MakeBodyMemorySettings(settings)),
       signals(loop, SIGTERM, SIGINT, SIGHUP),
       directory(settings.upstream_address, settings.service),
       balancer(settings.zone, clock, random),
@@ -91,10 +102,16 @@
              this->stop,
              this->metrics),
       status(source.Dialect().ready_path, this->metrics, [this] { this->ExportMetrics(); }),
-      request_listener(loop, this->router, clock, timers),
-      ready_listener(loop, this->status, clock, timers),
-      metrics_listener(loop, this->status, clock, timers),
-      peer_listener(loop, this->executor, settings.service, *this, clock, timers) {
+      request_listener(loop, this->router, this->body_memory, clock, timers),
+      ready_listener(loop, this->status, this->body_memory, clock, timers),
+      metrics_listener(loop, this->status, this->body_memory, clock, timers),
+      peer_listener(loop,
+                    this->executor,
+                    settings.service,
+                    *this,
+                    this->body_memory,
+                    clock,
+                    timers) {
   this->directory.AddObserver(this->balancer);
   this->directory.AddObserver(this->peers);
 }
@@ -403,6 +420,13 @@
       done.sent_after_leave);
   set("masticpin_executions_delayed",
       "Requests of other nodes that were under way for over 0.2 s, since the start.", done.delayed);
+  set("masticpin_large_body_bytes", "Bytes reserved for large bodies of requests.",
+      this->body_memory.LargeBytes());
+  set("masticpin_small_body_bytes", "Bytes reserved for small bodies of requests.",
+      this->body_memory.SmallBytes());
+  set("masticpin_bodies_refused",
+      "Requests refused because of the size of bodies, since the start.",
+      this->body_memory.Refusals());
   set("masticpin_upstream_connections", "Connections opened to the upstream since the start.",
       this->executor.OpenedConnections());
 }
--- a/sidecar/sidecar_node.h
+++ b/sidecar/sidecar_node.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "masticpin/admission/body_memory.h"
 #include "masticpin/admission/stop_schedule.h"
 #include "masticpin/base/clock.h"
 #include "masticpin/base/random_source.h"
@@ -99,6 +100,8 @@
   const SettingsReader read_settings;
   DeploymentSource& source;
   StopSchedule stop;
+  /// Of the bodies of all requests, from callers and from peers.
+  BodyMemory body_memory;
   boost::asio::signal_set signals;
 
   MetricsRegistry metrics;
