Release the memory of a request when its connection becomes idle

An idle connection to the server kept the capacity of the last request that was sent on it, because clear() keeps it.

Before: HttpClientMemoryTest failed with bytes kept by 8 connections after requests of 4 MB each. After: it passes (bound 4 MB).

--- a/sidecar/http_client_connection.cc
+++ b/sidecar/http_client_connection.cc
@@ -298,7 +298,8 @@
   if (reusable) {
     this->idle_since = this->clock.Now();
     this->parser.reset();
-    this->call.message.clear();
+    std::string().swap(this->call.message);  // clear() would keep the memory of a large body.
+    std::string().swap(this->input);
     // Detects that the server closes the connection while it is idle.
     this->Read();
     this->client.OnIdle(*this);
