Clamp times from outside the process in one function

A remaining time of 10^17 ms of a caller, or 2^63 us of a peer, overflowed its Duration, and the request was refused as expired. ReceivedDuration() clamps callers' and peers' remaining times, peers' retry delays, and the times of catalogs and platform documents to 24 hours, the bound that the platform's documents had.

--- a/sidecar/catalog_codec.cc
+++ b/sidecar/catalog_codec.cc
@@ -1,4 +1,5 @@
 #include "sidecar/catalog_codec.h"
+#include "masticpin/base/received_duration.h"
 
 #include <algorithm>
 #include <utility>
@@ -52,8 +53,8 @@
     route.host = encoded.host();
     route.prefix = encoded.prefix();
     route.idempotent = encoded.idempotent();
-    route.timeout = std::chrono::milliseconds(encoded.timeout_ms());
-    route.target_latency = std::chrono::milliseconds(encoded.target_latency_ms());
+    route.timeout = ReceivedDuration<std::chrono::milliseconds>(encoded.timeout_ms());
+    route.target_latency = ReceivedDuration<std::chrono::milliseconds>(encoded.target_latency_ms());
     route.attempts = std::max(encoded.attempts(), 1U);
     route.urgency_rank = encoded.urgency_rank();
     for (const wire::RouteDestination& destination : encoded.destinations()) {
@@ -71,8 +72,8 @@
   RequestLimits limits;
   limits.max_header_bytes = message.max_header_bytes();
   limits.max_body_bytes = message.max_body_bytes();
-  limits.header_timeout = std::chrono::milliseconds(message.header_timeout_ms());
-  limits.idle_timeout = std::chrono::milliseconds(message.idle_timeout_ms());
+  limits.header_timeout = ReceivedDuration<std::chrono::milliseconds>(message.header_timeout_ms());
+  limits.idle_timeout = ReceivedDuration<std::chrono::milliseconds>(message.idle_timeout_ms());
   return Ref<const RoutingConfiguration>(
       new RoutingConfiguration(message.version(), std::move(routes), std::move(services), limits));
 }
--- a/sidecar/local_execution.cc
+++ b/sidecar/local_execution.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "masticpin/base/received_duration.h"
 #include "sidecar/local_executor.h"
 #include "sidecar/peer_protocol.h"
 
@@ -43,7 +44,8 @@
   this->priority.importance = static_cast<std::uint8_t>(
       std::min<std::uint32_t>(this->request.importance(), kMaxImportance));
   this->priority.rank = static_cast<std::uint16_t>(this->request.rank());
-  this->deadline = this->arrived_at + std::chrono::microseconds(this->request.remaining_us());
+  this->deadline =
+      this->arrived_at + ReceivedDuration<std::chrono::microseconds>(this->request.remaining_us());
   this->wait_bound = this->request.inner() ? kMaxInnerWait : kMaxCallerWait;
   this->running.priority = this->priority;
   this->running.is_retry = this->request.repeated();
--- a/sidecar/local_executor.cc
+++ b/sidecar/local_executor.cc
@@ -6,6 +6,7 @@
 #include <utility>
 #include <vector>
 
+#include "masticpin/base/received_duration.h"
 #include "sidecar/local_execution.h"
 
 namespace masticpin {
@@ -121,8 +122,9 @@
 bool LocalExecutor::RefusesForStop(const wire::ExecutionRequest& request) {
   const TimePoint now = this->clock.Now();
   return this->RefusesAll() ||
-         !this->stop.AcceptsExecution(now, now + std::chrono::microseconds(request.remaining_us()),
-                                      this->run_times.Get());
+         !this->stop.AcceptsExecution(
+             now, now + ReceivedDuration<std::chrono::microseconds>(request.remaining_us()),
+             this->run_times.Get());
 }
 
 void LocalExecutor::Cancel(std::uint64_t call) {
--- a/sidecar/peer_session.cc
+++ b/sidecar/peer_session.cc
@@ -4,6 +4,7 @@
 
 #include <utility>
 
+#include "masticpin/base/received_duration.h"
 #include "sidecar/peer_protocol.h"
 #include "sidecar/tcp_connection_state.h"
 
@@ -180,8 +181,8 @@
                this->caller_service,
                std::chrono::duration_cast<std::chrono::milliseconds>(*transit).count());
   this->executor.CountDelayed();
-  request.set_remaining_us(
-      ToRemainingMicroseconds(std::chrono::microseconds(request.remaining_us()) - *transit));
+  request.set_remaining_us(ToRemainingMicroseconds(
+      ReceivedDuration<std::chrono::microseconds>(request.remaining_us()) - *transit));
   return true;
 }
 
--- a/sidecar/routed_request.cc
+++ b/sidecar/routed_request.cc
@@ -9,6 +9,7 @@
 #include <optional>
 #include <utility>
 
+#include "masticpin/base/received_duration.h"
 #include "masticpin/error/error_info.h"
 #include "masticpin/execution/running_request_table.h"
 #include "sidecar/peer_protocol.h"
@@ -115,7 +116,8 @@
   const auto [end, error] =
       std::from_chars(remaining.data(), remaining.data() + remaining.size(), milliseconds);
   if (error == std::errc() && milliseconds >= 0) {
-    allowed = std::min<Duration>(allowed, std::chrono::milliseconds(milliseconds));
+    allowed = std::min(allowed, ReceivedDuration<std::chrono::milliseconds>(
+                                    static_cast<std::uint64_t>(milliseconds)));
   }
   this->deadline = this->exchange->ArrivedAt() + allowed;
 
@@ -308,7 +310,8 @@
   if (kind == ErrorKind::kAttemptsExhausted) {
     this->RequestGrant();
   } else {
-    this->OnAttemptFailed(kind, std::chrono::milliseconds(reply.retry_after_ms()), "refused");
+    this->OnAttemptFailed(kind, ReceivedDuration<std::chrono::milliseconds>(reply.retry_after_ms()),
+                          "refused");
   }
 }
 
