Merge the account of body bytes

The bound on messages between nodes is now applied as a limit of what is read, so that a body above it is refused with 413 before it has arrived and before memory is reserved for it.

--- a/sidecar/local_executor.cc
+++ b/sidecar/local_executor.cc
@@ -6,6 +6,7 @@
 #include <utility>
 #include <vector>
 
+#include "masticpin/base/received_duration.h"
 #include "sidecar/local_execution.h"
 
 namespace masticpin {
@@ -127,8 +128,9 @@
   if (request.inner() && this->instance_count <= 1) {
     return false;
   }
-  return !this->stop.AcceptsExecution(now, now + std::chrono::microseconds(request.remaining_us()),
-                                      this->run_times.Get());
+  return !this->stop.AcceptsExecution(
+      now, now + ReceivedDuration<std::chrono::microseconds>(request.remaining_us()),
+      this->run_times.Get());
 }
 
 void LocalExecutor::Cancel(std::uint64_t call) {
--- a/sidecar/peer_session.cc
+++ b/sidecar/peer_session.cc
@@ -6,6 +6,7 @@
 #include <utility>
 #include <vector>
 
+#include "masticpin/base/received_duration.h"
 #include "sidecar/peer_protocol.h"
 #include "sidecar/tcp_connection_state.h"
 #include "sidecar/utf8.h"
@@ -29,12 +30,14 @@
                          LocalExecutor& executor,
                          const std::string& local_service,
                          CatalogStore& catalog_store,
+                         BodyMemory& body_memory,
                          std::uint64_t& next_call_id,
                          const Clock& clock,
                          TimerService& timers)
     : executor(executor),
       local_service(local_service),
       catalog_store(catalog_store),
+      body_memory(body_memory),
       next_call_id(next_call_id),
       clock(clock),
       timers(timers),
@@ -300,8 +303,8 @@
                this->caller_service,
                std::chrono::duration_cast<std::chrono::milliseconds>(*transit).count());
   this->executor.CountDelayed();
-  request.set_remaining_us(
-      ToRemainingMicroseconds(std::chrono::microseconds(request.remaining_us()) - *transit));
+  request.set_remaining_us(ToRemainingMicroseconds(
+      ReceivedDuration<std::chrono::microseconds>(request.remaining_us()) - *transit));
   return true;
 }
 
@@ -322,6 +325,17 @@
     added.OnExecutionReply(refusal);
     return;
   }
+  if (!added.ReserveBody(request.body().size())) {
+    spdlog::warn(
+        "event=body_refused id={} caller_service={} bytes={} large_bytes={} small_bytes={}",
+        request.request_id(), this->caller_service, request.body().size(),
+        this->body_memory.LargeBytes(), this->body_memory.SmallBytes());
+    wire::ExecutionReply refusal;
+    refusal.set_error(static_cast<std::uint32_t>(ErrorKind::kOverloaded));
+    EncodeLoadReport(this->executor.GetLoad(), *refusal.mutable_load());
+    added.OnExecutionReply(refusal);
+    return;
+  }
   request.set_call(call);
   request.set_caller_service(this->caller_service);
   if (this->MayBeDelayed(request) && this->answers_receiver) {
--- a/sidecar/request_router.cc
+++ b/sidecar/request_router.cc
@@ -59,7 +59,10 @@
 }
 
 RequestLimits RequestRouter::Limits() const {
-  return this->configuration == nullptr ? RequestLimits{} : this->configuration->Limits();
+  RequestLimits limits =
+      this->configuration == nullptr ? RequestLimits{} : this->configuration->Limits();
+  limits.max_body_bytes = std::min(limits.max_body_bytes, this->settings.max_body_bytes);
+  return limits;
 }
 
 void RequestRouter::SetConfiguration(Ref<const RoutingConfiguration> new_configuration) {
--- a/sidecar/routed_request.cc
+++ b/sidecar/routed_request.cc
@@ -9,9 +9,9 @@
 #include <optional>
 #include <utility>
 
+#include "masticpin/base/received_duration.h"
 #include "masticpin/error/error_info.h"
 #include "masticpin/execution/running_request_table.h"
-#include "sidecar/frame_size_limit.h"
 #include "sidecar/peer_protocol.h"
 #include "sidecar/request_router.h"
 
@@ -54,12 +54,10 @@
 RoutedRequest::RoutedRequest(RequestRouter& router, Ref<HttpExchange> exchange)
     : router(router), exchange(std::move(exchange)), configuration(router.configuration) {
   router.unfinished_requests.push_back(*this);
-  router.body_bytes_in_progress += this->exchange->Request().body.size();
 }
 
 RoutedRequest::~RoutedRequest() {
   this->exchange->SetObserver(nullptr);
-  this->router.body_bytes_in_progress -= this->exchange->Request().body.size();
 }
 
 void RoutedRequest::Start() {
@@ -76,22 +74,10 @@
   }
   this->ReadContext();
   this->ChooseService();
-  const std::size_t max_body_bytes =
-      FrameSizeLimit::MaxRequestBodyBytes(this->router.settings.max_body_bytes_in_progress);
-  if (request.body.size() > max_body_bytes) {
-    this->Refuse(ErrorKind::kBodyTooLarge, Duration::zero(),
-                 "the body is larger than what nodes pass on");
-    return;
-  }
   if (!this->IsAcceptedDuringStop()) {
     this->Refuse(ErrorKind::kDraining, Duration::zero(), "the node is shutting down");
     return;
   }
-  if (this->router.body_bytes_in_progress > this->router.settings.max_body_bytes_in_progress) {
-    this->Refuse(ErrorKind::kOverloaded, kMaxRetryAfter,
-                 "too many bytes of request bodies in progress");
-    return;
-  }
 
   // Refuses requests of callers here if services further down the call chain are overloaded.
   if (!this->inner) {
@@ -130,7 +116,8 @@
   const auto [end, error] =
       std::from_chars(remaining.data(), remaining.data() + remaining.size(), milliseconds);
   if (error == std::errc() && milliseconds >= 0) {
-    allowed = std::min<Duration>(allowed, std::chrono::milliseconds(milliseconds));
+    allowed = std::min(allowed, ReceivedDuration<std::chrono::milliseconds>(
+                                    static_cast<std::uint64_t>(milliseconds)));
   }
   this->deadline = this->exchange->ArrivedAt() + allowed;
 
@@ -331,7 +318,8 @@
   if (kind == ErrorKind::kAttemptsExhausted) {
     this->RequestGrant();
   } else {
-    this->OnAttemptFailed(kind, std::chrono::milliseconds(reply.retry_after_ms()), "refused");
+    this->OnAttemptFailed(kind, ReceivedDuration<std::chrono::milliseconds>(reply.retry_after_ms()),
+                          "refused");
   }
 }
 
