Give a page without another instance all of its time

In masticpin-node, an idempotent request was cancelled at half of its time to keep the rest for a retry, also if no other instance could take it. Its caller got peer_lost while the upstream was at work. The half is now kept only if another instance can be chosen.

PageWithoutAnotherInstanceHasAllOfItsTime failed before (cancelled at 0.5 s) and passes.

--- a/masticpin/execution/home_dispatcher.cc
+++ b/masticpin/execution/home_dispatcher.cc
@@ -102,15 +102,8 @@
     return;
   }
 
-  // If an idempotent request can be retried, wait for its reply only half of the remaining time and
-  // keep the other half for the retry. This requires that the expected duration is known and
-  // shorter than that half.
-  Duration reply_timeout = pending->deadline - now;
-  if (entry.Idempotent() && pending->sent < this->settings.max_retries &&
-      budget.Held() >= entry.Cost() && pending->expected_time > Duration::zero() &&
-      reply_timeout / 2 > pending->expected_time) {
-    reply_timeout /= 2;
-  }
+  pending->tried.push_back(target->instance.name);
+  const Duration reply_timeout = this->ReplyTimeout(*pending, now);
 
   // Send the request with a new execution key.
   const std::uint64_t sequence = this->next_sequence++;
@@ -124,7 +117,6 @@
   request.set_remaining_us(static_cast<std::uint64_t>(
       std::chrono::duration_cast<std::chrono::microseconds>(reply_timeout).count()));
   pending->executor = target->instance;
-  pending->tried.push_back(target->instance.name);
   ++pending->sent;
   ++this->counts.sent;
   this->timers.Schedule(*pending, now + reply_timeout);
@@ -213,6 +205,20 @@
   this->End(std::move(pending), ActionResult::Failed(ErrorKind::kCancelled));
 }
 
+Duration HomeDispatcher::ReplyTimeout(const Pending& pending, TimePoint now) {
+  // If an idempotent request can be retried, wait for its reply only half of the remaining time and
+  // keep the other half for the retry. This requires that the expected duration is known and
+  // shorter than that half, and another instance: otherwise the upstream may still be at work.
+  const Duration remaining = pending.deadline - now;
+  LedgerEntry& entry = *pending.entry;
+  const bool may_retry =
+      entry.Idempotent() && pending.sent < this->settings.max_retries &&
+      entry.Budget().Held() >= entry.Cost() && pending.expected_time > Duration::zero() &&
+      remaining / 2 > pending.expected_time &&
+      this->chooser.Choose(pending.request.service(), pending.tried, pending.priority).has_value();
+  return may_retry ? remaining / 2 : remaining;
+}
+
 void HomeDispatcher::OnTimeout(std::uint64_t sequence, TimePoint now) {
   std::unique_ptr<Pending> pending = this->Remove(sequence);
   if (!pending) {
--- a/masticpin/execution/home_dispatcher.h
+++ b/masticpin/execution/home_dispatcher.h
@@ -80,6 +80,8 @@
 
   std::unique_ptr<Pending> Remove(std::uint64_t sequence);
   void Send(std::unique_ptr<Pending> pending);
+  /// Returns the time to wait for the reply of the attempt that is about to be sent.
+  Duration ReplyTimeout(const Pending& pending, TimePoint now);
   void OnTimeout(std::uint64_t sequence, TimePoint now);
   void OnFailure(std::unique_ptr<Pending> pending, const ActionResult& failure);
   void End(std::unique_ptr<Pending> pending, ActionResult result);
--- a/masticpin/execution/home_dispatcher_test.cc
+++ b/masticpin/execution/home_dispatcher_test.cc
@@ -142,6 +142,18 @@
   EXPECT_EQ(this->waiter.results.at(0).error, ErrorKind::kPeerLost);
 }
 
+// Guards against a page that fails at half of its time, while its upstream is at work, although no
+// other instance can run it.
+TEST_F(HomeDispatcherTest, PageWithoutAnotherInstanceHasAllOfItsTime) {
+  this->instances = {{"a", 1}};
+  this->Start(true, this->waiter);
+  this->clock.Advance(milliseconds(900));
+  EXPECT_EQ(this->cancels, 0);
+  ASSERT_EQ(this->sent.size(), 1U);
+  this->dispatcher.OnReply({"a", 1}, ReplyTo(this->sent[0], "late"));
+  EXPECT_EQ(this->waiter.results.at(0).response->Message().body(), "late");
+}
+
 // Guards against a dispatch that stays outstanding after it was cancelled.
 TEST_F(HomeDispatcherTest, CancelEndsTheDispatch) {
   const Ref<LedgerEntry> entry = this->Start(true, this->waiter);
