--- a/ctl/log_explainer.cc
+++ b/ctl/log_explainer.cc
@@ -31,11 +31,13 @@
 constexpr std::array<std::string_view, 3> kEndEvents = {"request_refused", "request_failed",
                                                         "caller_gone"};
 
-constexpr std::array<std::string_view, 15> kStateEvents = {"node_started",
+constexpr std::array<std::string_view, 17> kStateEvents = {"node_started",
                                                            "node_stopping",
                                                            "node_stopped",
                                                            "peer_leaving",
                                                            "peer_lost",
+                                                           "peer_silent",
+                                                           "peer_responds",
                                                            "own_instance_found",
                                                            "own_instance_leaving",
                                                            "own_instance_replaced",
--- a/sidecar/received_time_test.cc
+++ b/sidecar/received_time_test.cc
@@ -34,7 +34,8 @@
   for (const std::uint64_t remaining :
        {std::numeric_limits<std::uint64_t>::max(), std::uint64_t{1} << 63, std::uint64_t{1} << 54,
         std::uint64_t{9'300'000'000'000'000}}) {
-    wire::PeerFrame frame = RawPeer::MakeRequest(++call, std::to_string(call), true);
+    ++call;
+    wire::PeerFrame frame = RawPeer::MakeRequest(call, std::to_string(call), true);
     frame.mutable_request()->set_remaining_us(remaining);
     peer.Send(frame);
     ASSERT_TRUE(this->fleet.RunUntil([&] { return peer.Count(wire::PeerFrame::kReply) == call; }));
