Add a failing test of queued requests on a new link

Its node was paused for 2.2 s and then accepted a link that had been opened and reset meanwhile: the first of the queued requests waits for a confirmation, the others count as timely, because the first one sets the difference of the clocks. They reach the instance and are cancelled in the same millisecond.

--- a/sidecar/caller_disconnect_test.cc
+++ b/sidecar/caller_disconnect_test.cc
@@ -1,8 +1,12 @@
+#include <google/protobuf/io/zero_copy_stream_impl_lite.h>
+#include <google/protobuf/util/delimited_message_util.h>
 #include <gtest/gtest.h>
 
+#include <boost/asio/write.hpp>
 #include <memory>
 
 #include "sidecar/local_executor.h"
+#include "sidecar/peer_protocol.h"
 #include "sidecar/tcp_address.h"
 #include "sidecar/testing/raw_peer.h"
 #include "sidecar/testing/sidecar_node_fixture.h"
@@ -142,6 +146,35 @@
   EXPECT_EQ(this->RequestCount(1), 1U);
 }
 
+// Guards against the same on a new link, whose first message is taken for one that was on time.
+TEST_F(CallerDisconnectTest, QueuedRequestsOfANewLinkAreNotSentIfItsNodeHasClosedIt) {
+  this->AddMachines(RespondToAll);
+  this->fleet.Start();
+  // Leaves an open connection to the instance, on which the next request is written at once.
+  RawPeer other(this->fleet.Loop(), this->fleet.At(1).settings.peer_address, "page", "front");
+  other.Send(RawPeer::MakeRequest(1, "timely", true));
+  ASSERT_TRUE(this->fleet.RunUntil([&] { return other.Count(wire::PeerFrame::kReply) == 1; }));
+  std::string bytes;
+  {
+    google::protobuf::io::StringOutputStream stream(&bytes);
+    wire::PeerFrame hello;
+    hello.mutable_hello()->set_protocol(kPeerProtocolVersion);
+    hello.mutable_hello()->set_service("page");
+    hello.mutable_hello()->set_answers_receiver(true);
+    google::protobuf::util::SerializeDelimitedToZeroCopyStream(hello, &stream);
+    for (std::uint64_t call = 1; call <= 3; ++call) {
+      google::protobuf::util::SerializeDelimitedToZeroCopyStream(
+          RawPeer::MakeRequest(call, std::to_string(call), true, seconds(1)), &stream);
+    }
+  }
+  boost::asio::ip::tcp::socket socket(this->fleet.Loop());
+  socket.connect(ToEndpoint(this->fleet.At(1).settings.peer_address));
+  boost::asio::write(socket, boost::asio::buffer(bytes));
+  socket.close();
+  this->fleet.RunFor(milliseconds(400));
+  EXPECT_EQ(this->RequestCount(1), 1U);
+}
+
 // Guards against a delayed request that is run with more time than its caller waits.
 TEST_F(CallerDisconnectTest, DelayedRequestRunsWithTheTimeThatItsNodeConfirms) {
   this->AddMachines(RespondToAll);
