Count the body of a request until nobody holds it

What callers saw: clients that sent a whole upload and left took the process beside the server over its memory. A run that is not idempotent goes on after its caller has left, but its body was counted only until then, so that the next upload was admitted.

Cause: the reservation of a body belonged to the exchange with the caller or to the session of the peer, while the execution at the instance held a copy of the bytes, and its connection a second one.

Change: MessageBody holds the bytes and their reservation, and everything that needs a body shares it without copying. The connection to the server releases it when it is written, the execution when the instance has it and nobody waits for the result.

--- a/net/upstream_client.cc
+++ b/net/upstream_client.cc
@@ -88,7 +88,8 @@
       call.echo_value = header.value();
     }
   }
-  AppendBody(request.method(), request.body(), call.message);
+  AppendEndOfHead(request.method(), request.body().size(), call.message);
+  call.message.append(request.body());
   call.head = request.method() == "HEAD";
   call.echo_required = false;
   call.max_idle = idempotent ? kMaxIdleForIdempotent : Duration(this->settings.max_idle);
--- a/sidecar/caller_disconnect_test.cc
+++ b/sidecar/caller_disconnect_test.cc
@@ -335,10 +335,11 @@
   void Execute(bool idempotent, Duration remaining, std::size_t body_bytes) {
     wire::ExecutionRequest request = RawPeer::MakeRequest(kCall, "request", idempotent).request();
     request.set_method("POST");
-    request.set_body(std::string(body_bytes, 'x'));
     request.set_remaining_us(static_cast<std::uint64_t>(
         std::chrono::duration_cast<std::chrono::microseconds>(remaining).count()));
-    this->executor->Execute(std::move(request), *this);
+    const Ref<const MessageBody> body(
+        new MessageBody(std::string(body_bytes, 'x'), BodyReservation()));
+    this->executor->Execute(std::move(request), body, *this);
   }
 
   void RunFor(Duration time) {
--- a/sidecar/http_call.cc
+++ b/sidecar/http_call.cc
@@ -2,11 +2,11 @@
 
 namespace masticpin {
 
-void AppendBody(std::string_view method, std::string_view body, std::string& message) {
-  if (!body.empty() || method == "POST" || method == "PUT" || method == "PATCH") {
-    message.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n");
+void AppendEndOfHead(std::string_view method, std::size_t body_bytes, std::string& message) {
+  if (body_bytes > 0 || method == "POST" || method == "PUT" || method == "PATCH") {
+    message.append("Content-Length: ").append(std::to_string(body_bytes)).append("\r\n");
   }
-  message.append("\r\n").append(body);
+  message.append("\r\n");
 }
 
 }  // namespace masticpin
--- a/sidecar/http_call.h
+++ b/sidecar/http_call.h
@@ -1,16 +1,20 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
 #include "masticpin/base/time.h"
+#include "sidecar/message_body.h"
 
 namespace masticpin {
 
 /// One request that an HTTP client sends.
 struct HttpCall {
-  /// The complete request, as it is sent.
+  /// The request as it is sent: the head, and the body if it is not in `body`.
   std::string message;
+  /// Sent after `message`; nullptr for none.
+  Ref<const MessageBody> body;
   /// Whether this is a HEAD request, whose response has no body.
   bool head = false;
   /// A header field that the server echoes in its response, and the value that it must have. A
@@ -26,9 +30,8 @@
   Duration max_idle{};
 };
 
-/// Completes a request in `message`, of which the request line and the header fields are there:
-/// adds the length if the request has a body or its method expects one, the empty line, and the
-/// body.
-void AppendBody(std::string_view method, std::string_view body, std::string& message);
+/// Completes a head in `message`, of which the request line and the header fields are there: adds
+/// the length if the request has a body or its method expects one, and the empty line.
+void AppendEndOfHead(std::string_view method, std::size_t body_bytes, std::string& message);
 
 }  // namespace masticpin
--- a/sidecar/http_client_connection.cc
+++ b/sidecar/http_client_connection.cc
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/asio/write.hpp>
@@ -136,14 +137,17 @@
   this->SetWriteTimeout();
   this->writing = true;
   boost::asio::async_write(
-      this->socket, boost::asio::buffer(this->call.message),
+      this->socket,
+      std::array<boost::asio::const_buffer, 2>{boost::asio::buffer(this->call.message),
+                                               boost::asio::buffer(BytesOf(this->call.body))},
       [self = Ref<HttpClientConnection>(this)](const boost::system::error_code& error,
                                                std::size_t) { self->OnWritten(error); });
   this->Read();
 }
 
 void HttpClientConnection::SetWriteTimeout() {
-  const bool limited = this->call.message.size() <= kMaxUnreadMessageBytes;
+  const bool limited =
+      this->call.message.size() + BytesOf(this->call.body).size() <= kMaxUnreadMessageBytes;
   if (limited != this->write_time_limited) {
     this->write_time_limited = limited;
     SetUserTimeout(this->socket, limited ? kMaxWriteTime : Duration::zero());
@@ -162,6 +166,7 @@
 
 void HttpClientConnection::OnWritten(const boost::system::error_code& error) {
   this->writing = false;
+  this->call.body.reset();
   if (error && !this->closed && this->observer != nullptr) {
     // The server may have responded before it read the whole request, so the read decides the
     // result.
@@ -354,6 +359,7 @@
     this->idle_since = this->clock.Now();
     this->parser.reset();
     std::string().swap(this->call.message);  // clear() would keep the memory of a large body.
+    this->call.body.reset();
     std::string().swap(this->input);
     // Detects that the server closes the connection while it is idle.
     this->Read();
@@ -383,6 +389,8 @@
   this->body_reservation.Release();
   this->timers.Cancel(*this);
   CloseAndDiscard(this->socket);
+  // The write was cancelled with the socket, so that it no longer reads the body.
+  this->call.body.reset();
   this->RemoveFromList();
 }
 
--- a/sidecar/http_exchange.cc
+++ b/sidecar/http_exchange.cc
@@ -8,12 +8,12 @@
 
 HttpExchange::HttpExchange(HttpSession& session,
                            HttpRequest request,
-                           BodyReservation body_memory,
+                           Ref<const MessageBody> body,
                            BodyReservation head_memory,
                            TimePoint arrived_at)
     : session(&session),
       request(std::move(request)),
-      body_memory(std::move(body_memory)),
+      body(std::move(body)),
       head_memory(std::move(head_memory)),
       arrived_at(arrived_at) {}
 
--- a/sidecar/http_exchange.h
+++ b/sidecar/http_exchange.h
@@ -5,6 +5,7 @@
 #include "masticpin/base/time.h"
 #include "sidecar/caller_observer.h"
 #include "sidecar/http_message.h"
+#include "sidecar/message_body.h"
 #include "sidecar/outgoing_response.h"
 
 namespace masticpin {
@@ -14,16 +15,19 @@
 /// One request of a caller, and its place in the order of responses on the connection.
 class HttpExchange : public RefCounted<HttpExchange> {
  public:
-  /// `body_memory` and `head_memory` are released with the exchange.
+  /// `body` is nullptr if the request has none. `head_memory` is released with the exchange.
   HttpExchange(HttpSession& session,
                HttpRequest request,
-               BodyReservation body_memory,
+               Ref<const MessageBody> body,
                BodyReservation head_memory,
                TimePoint arrived_at);
 
   const HttpRequest& Request() const { return this->request; }
   HttpRequest& Request() { return this->request; }
 
+  /// The body of the request; nullptr if it has none.
+  const Ref<const MessageBody>& Body() const { return this->body; }
+
   /// Time at which the last byte of the request was read.
   TimePoint ArrivedAt() const { return this->arrived_at; }
 
@@ -39,7 +43,7 @@
   /// The connection; nullptr after it was closed.
   HttpSession* session;
   HttpRequest request;
-  const BodyReservation body_memory;
+  const Ref<const MessageBody> body;
   const BodyReservation head_memory;
   const TimePoint arrived_at;
   CallerObserver* observer = nullptr;
--- a/sidecar/http_message.h
+++ b/sidecar/http_message.h
@@ -46,13 +46,12 @@
   std::vector<HttpField> fields;
 };
 
-/// A complete request of a caller.
+/// A complete request of a caller, without its body.
 struct HttpRequest {
   std::string method;
   /// Exactly as received.
   std::string target;
   HttpFields fields;
-  std::string body;
   /// Whether the connection may be used for another request.
   bool keep_alive = true;
 };
--- a/sidecar/http_session.cc
+++ b/sidecar/http_session.cc
@@ -430,7 +430,6 @@
   request.target = std::string(message.target());
   request.fields = HttpFields(message.base());
   request.keep_alive = message.keep_alive();
-  request.body = std::move(message.body());
   std::optional<AbsoluteTarget> absolute = ParseAbsoluteTarget(request.target);
   if (absolute) {
     // The host of the target replaces the Host field (RFC 9112, section 3.2.2).
@@ -439,9 +438,14 @@
   }
   // Anything after the last request of a connection is ignored.
   this->input_ended = !request.keep_alive;
-  Ref<HttpExchange> exchange(
-      new HttpExchange(*this, std::move(request), std::move(this->body_reservation),
-                       std::move(this->head_reservation), this->clock.Now()));
+  Ref<const MessageBody> body;
+  if (!message.body().empty()) {
+    body = Ref<const MessageBody>(
+        new MessageBody(std::move(message.body()), std::move(this->body_reservation)));
+  }
+  Ref<HttpExchange> exchange(new HttpExchange(*this, std::move(request), std::move(body),
+                                              std::move(this->head_reservation),
+                                              this->clock.Now()));
   this->exchanges.push_back(exchange);
   this->handler.OnRequest(std::move(exchange));
 }
@@ -457,8 +461,8 @@
   this->input_reservation.Release();
   HttpRequest request;
   request.keep_alive = false;
-  Ref<HttpExchange> exchange(new HttpExchange(*this, std::move(request), BodyReservation(),
-                                              BodyReservation(), this->clock.Now()));
+  Ref<HttpExchange> exchange(
+      new HttpExchange(*this, std::move(request), nullptr, BodyReservation(), this->clock.Now()));
   this->exchanges.push_back(exchange);
   exchange->Respond(OutgoingResponse{status, std::string(reason), std::string(header_lines), ""});
 }
--- a/sidecar/local_execution.cc
+++ b/sidecar/local_execution.cc
@@ -36,9 +36,11 @@
 
 LocalExecution::LocalExecution(LocalExecutor& executor,
                                wire::ExecutionRequest new_request,
+                               Ref<const MessageBody> body,
                                ExecutionObserver& observer)
     : executor(executor),
       request(std::move(new_request)),
+      body(std::move(body)),
       observer(&observer),
       arrived_at(executor.clock.Now()) {
   this->priority.importance = static_cast<std::uint8_t>(
@@ -80,7 +82,9 @@
     this->EndRun(Completion::kCancelled);
     this->ended = true;
     this->executor.OnEnded(*this);
+    return;
   }
+  this->body.reset();
 }
 
 void LocalExecution::LogCut() const {
@@ -114,7 +118,8 @@
   this->executor.running.Add(this->request.request_id(), this->running);
   this->executor.timers.Schedule(*this, this->deadline + kResponseMargin);
   HttpCall call;
-  call.message = this->BuildMessage();
+  call.message = this->BuildHead();
+  call.body = this->body;
   call.head = this->request.method() == "HEAD";
   call.echo_name = this->executor.dialect.request_id;
   call.echo_value = this->request.request_id();
@@ -136,12 +141,12 @@
   this->ReplyError(kind, false, retry_after);
 }
 
-std::string LocalExecution::BuildMessage() const {
+std::string LocalExecution::BuildHead() const {
   const HttpDialect& dialect = this->executor.dialect;
   const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
       this->deadline - this->executor.clock.Now());
   std::string message;
-  message.reserve(this->request.header_lines().size() + this->request.body().size() + 256);
+  message.reserve(this->request.header_lines().size() + 256);
   message.append(this->request.method()).append(" ").append(this->request.target());
   message.append(" HTTP/1.1\r\n").append(this->request.header_lines());
   message.append(dialect.remaining_ms).append(": ");
@@ -154,7 +159,7 @@
                      ? kUnknownInstance
                      : std::string_view(this->executor.instance.Name()));
   message.append("\r\n");
-  AppendBody(this->request.method(), this->request.body(), message);
+  AppendEndOfHead(this->request.method(), BytesOf(this->body).size(), message);
   return message;
 }
 
--- a/sidecar/local_execution.h
+++ b/sidecar/local_execution.h
@@ -23,6 +23,7 @@
  public:
   LocalExecution(LocalExecutor& executor,
                  wire::ExecutionRequest new_request,
+                 Ref<const MessageBody> body,
                  ExecutionObserver& observer);
   ~LocalExecution() override;
 
@@ -57,7 +58,7 @@
   void OnCallFailed(ErrorKind kind, std::string_view reason) override;
   void OnTimer(TimePoint now) override;
 
-  std::string BuildMessage() const;
+  std::string BuildHead() const;
   /// Records the time that the instance itself worked for the request, which has just ended with a
   /// success.
   void RecordWorkTime();
@@ -69,6 +70,8 @@
 
   LocalExecutor& executor;
   const wire::ExecutionRequest request;
+  /// Released once the instance has it and nobody can have it sent again.
+  Ref<const MessageBody> body;
   ExecutionObserver* observer;
   RunningRequest running;
   Ref<HttpClientConnection> connection;
--- a/sidecar/local_executor.cc
+++ b/sidecar/local_executor.cc
@@ -101,7 +101,9 @@
   }
 }
 
-void LocalExecutor::Execute(wire::ExecutionRequest request, ExecutionObserver& observer) {
+void LocalExecutor::Execute(wire::ExecutionRequest request,
+                            Ref<const MessageBody> body,
+                            ExecutionObserver& observer) {
   if (request.grant_only()) {
     ReplyToGrantRequest(request, this->TryGrantRetry(request), observer);
     return;
@@ -111,7 +113,8 @@
   this->pause_detector.Check();
   const bool refused = this->RefusesForStop(request);
   const bool granted = refused || request.granted_elsewhere() || this->TryGrantRetry(request);
-  const Ref<LocalExecution> execution(new LocalExecution(*this, std::move(request), observer));
+  const Ref<LocalExecution> execution(
+      new LocalExecution(*this, std::move(request), std::move(body), observer));
   this->executions.emplace(execution->Call(), execution);
   if (refused) {
     execution->OnRefused(ErrorKind::kDraining, Duration::zero());
--- a/sidecar/local_executor.h
+++ b/sidecar/local_executor.h
@@ -51,7 +51,9 @@
   /// Starts the detection of pauses of the process.
   void Start() { this->pause_detector.Start(); }
 
-  void Execute(wire::ExecutionRequest request, ExecutionObserver& observer) override;
+  void Execute(wire::ExecutionRequest request,
+               Ref<const MessageBody> body,
+               ExecutionObserver& observer) override;
   void Cancel(std::uint64_t call) override;
 
   /// Whether the request has left the queue.
--- a/sidecar/peer_link.cc
+++ b/sidecar/peer_link.cc
@@ -58,12 +58,17 @@
   }
 }
 
-void PeerLink::Execute(wire::ExecutionRequest request, ExecutionObserver& call_observer) {
+void PeerLink::Execute(wire::ExecutionRequest request,
+                       Ref<const MessageBody> body,
+                       ExecutionObserver& call_observer) {
   const std::uint64_t call = request.call();
   const Duration remaining = std::chrono::microseconds(request.remaining_us());
   wire::PeerFrame frame;
   *frame.mutable_request() = std::move(request);
   frame.mutable_request()->clear_caller_service();
+  if (body != nullptr) {
+    frame.mutable_request()->set_body(body->Bytes());
+  }
   const TimePoint now = this->clock.Now();
   frame.mutable_request()->set_sender_clock_us(ToClockMicroseconds(now));
   frame.mutable_request()->set_configuration_version(this->catalog_store.ConfigurationVersion());
--- a/sidecar/peer_link.h
+++ b/sidecar/peer_link.h
@@ -43,7 +43,9 @@
            MessageMemory& memory);
   ~PeerLink() override;
 
-  void Execute(wire::ExecutionRequest request, ExecutionObserver& observer) override;
+  void Execute(wire::ExecutionRequest request,
+               Ref<const MessageBody> body,
+               ExecutionObserver& observer) override;
   void Cancel(std::uint64_t call) override;
 
   /// Closes the connection and fails all requests on it.
--- a/sidecar/peer_session.cc
+++ b/sidecar/peer_session.cc
@@ -342,11 +342,7 @@
     added.OnExecutionReply(refusal);
     return;
   }
-  if (!added.ReserveBody(request.body().size())) {
-    spdlog::warn(
-        "event=body_refused id={} caller_service={} bytes={} large_bytes={} small_bytes={}",
-        request.request_id(), this->caller_service, request.body().size(),
-        this->memory.requests.LargeBytes(), this->memory.requests.SmallBytes());
+  if (!this->TakeBody(request, added)) {
     wire::ExecutionReply refusal;
     refusal.set_error(static_cast<std::uint32_t>(ErrorKind::kOverloaded));
     EncodeLoadReport(this->executor.GetLoad(), *refusal.mutable_load());
@@ -362,8 +358,26 @@
   }
 }
 
+bool PeerSession::TakeBody(wire::ExecutionRequest& request, Execution& execution) {
+  if (request.body().empty()) {
+    return true;
+  }
+  BodyReservation reservation(this->memory.requests);
+  if (!reservation.Grow(request.body().size())) {
+    spdlog::warn(
+        "event=body_refused id={} caller_service={} bytes={} large_bytes={} small_bytes={}",
+        request.request_id(), this->caller_service, request.body().size(),
+        this->memory.requests.LargeBytes(), this->memory.requests.SmallBytes());
+    return false;
+  }
+  execution.SetBody(Ref<const MessageBody>(
+      new MessageBody(std::move(*request.mutable_body()), std::move(reservation))));
+  request.clear_body();
+  return true;
+}
+
 void PeerSession::Execution::Start(wire::ExecutionRequest request) {
-  this->session.executor.Execute(std::move(request), *this);
+  this->session.executor.Execute(std::move(request), std::move(this->body), *this);
 }
 
 void PeerSession::Execution::StartWhenConfirmed(wire::ExecutionRequest request) {
--- a/sidecar/peer_session.h
+++ b/sidecar/peer_session.h
@@ -65,16 +65,11 @@
   class Execution : public ExecutionObserver, private TimerSubscriber {
    public:
     Execution(PeerSession& session, std::uint64_t peer_call_id, std::uint64_t call, bool idempotent)
-        : session(session),
-          body_reservation(session.memory.requests),
-          peer_call_id(peer_call_id),
-          call(call),
-          idempotent(idempotent) {}
+        : session(session), peer_call_id(peer_call_id), call(call), idempotent(idempotent) {}
 
-    /// Reserves the memory of the request's body. Returns false if there is none.
-    bool ReserveBody(std::size_t bytes) { return this->body_reservation.Grow(bytes); }
+    void SetBody(Ref<const MessageBody> new_body) { this->body = std::move(new_body); }
 
-    /// Passes the request to the executor.
+    /// Passes the request and its body to the executor.
     void Start(wire::ExecutionRequest request);
 
     /// Asks the peer whether it still waits, and starts the request with the answer or after a
@@ -93,7 +88,7 @@
     void OnTimer(TimePoint now) override;
 
     PeerSession& session;
-    BodyReservation body_reservation;
+    Ref<const MessageBody> body;
     /// Id of the call at the peer, and at the local executor.
     const std::uint64_t peer_call_id;
     const std::uint64_t call;
@@ -114,6 +109,8 @@
   void EndIdempotent(Duration silence);
   void OnHello(const wire::PeerHello& hello);
   void OnRequest(wire::ExecutionRequest& request);
+  /// Moves the body of `request` to `execution`. Returns false if there is no memory for it.
+  bool TakeBody(wire::ExecutionRequest& request, Execution& execution);
   /// Replaces the response in a reply by an error, because it cannot be kept or sent.
   static void DropResponse(wire::ExecutionReply& reply);
   /// Makes `frame` one that the peer can read: replaces a reply that is too large by an error.
--- a/sidecar/request_attempt.cc
+++ b/sidecar/request_attempt.cc
@@ -22,13 +22,14 @@
 
 void RequestAttempt::Start(RequestExecutor& new_target,
                            Ref<PeerLink> new_link,
-                           wire::ExecutionRequest message) {
+                           wire::ExecutionRequest message,
+                           Ref<const MessageBody> body) {
   this->target = &new_target;
   this->link = std::move(new_link);
   this->balancer.OnSent(this->instance);
   message.set_call(this->call);
   message.set_grant_only(this->IsGrantRequest());
-  new_target.Execute(std::move(message), *this);
+  new_target.Execute(std::move(message), std::move(body), *this);
 }
 
 void RequestAttempt::Cancel(InstanceOutcome outcome) {
--- a/sidecar/request_attempt.h
+++ b/sidecar/request_attempt.h
@@ -30,9 +30,12 @@
                  Purpose purpose);
   ~RequestAttempt() override;
 
-  /// Sends `message`. `link` is `target` if that is a peer, otherwise nullptr. The observer may be
-  /// called, and may destroy this object, before the method returns.
-  void Start(RequestExecutor& target, Ref<PeerLink> link, wire::ExecutionRequest message);
+  /// Sends `message` with `body`. `link` is `target` if that is a peer, otherwise nullptr. The
+  /// observer may be called, and may destroy this object, before the method returns.
+  void Start(RequestExecutor& target,
+             Ref<PeerLink> link,
+             wire::ExecutionRequest message,
+             Ref<const MessageBody> body);
 
   /// Ends the attempt at the executing node, and reports its outcome.
   void Cancel(InstanceOutcome outcome);
--- a/sidecar/routed_request.cc
+++ b/sidecar/routed_request.cc
@@ -248,11 +248,13 @@
     return;
   }
   ++this->sends;
-  this->Execute(*found, this->BuildRequest(), RequestAttempt::Purpose::kRun);
+  this->Execute(*found, this->BuildRequest(), this->exchange->Body(),
+                RequestAttempt::Purpose::kRun);
 }
 
 void RoutedRequest::Execute(const UpstreamInstance& to,
                             wire::ExecutionRequest message,
+                            Ref<const MessageBody> body,
                             RequestAttempt::Purpose purpose) {
   this->instance = to.name;
   RequestAttemptObserver& observer = *this;
@@ -261,10 +263,10 @@
   // The attempt may end, and another one start, before Start() returns.
   const Ref<RoutedRequest> keep(this);
   if (to.address == this->router.settings.upstream_address) {
-    this->attempt->Start(this->router.executor, nullptr, std::move(message));
+    this->attempt->Start(this->router.executor, nullptr, std::move(message), std::move(body));
   } else {
     const Ref<PeerLink> link = this->router.peers.GetLink(to);
-    this->attempt->Start(*link, link, std::move(message));
+    this->attempt->Start(*link, link, std::move(message), std::move(body));
   }
 }
 
@@ -313,7 +315,6 @@
   if (this->account != nullptr) {
     lines.append(dialect.client_account).append(": ").append(this->account->name).append("\r\n");
   }
-  message.set_body(request.body);
   message.set_remaining_us(ToRemainingMicroseconds(this->TimeLeft()));
   message.set_idempotent(this->route->idempotent);
   message.set_importance(this->priority.importance);
@@ -481,7 +482,7 @@
   message.set_rank(this->priority.rank);
   message.set_inner(this->inner);
   message.set_repeat_cost(this->retry_cost);
-  this->Execute(*found, std::move(message), RequestAttempt::Purpose::kGrant);
+  this->Execute(*found, std::move(message), nullptr, RequestAttempt::Purpose::kGrant);
 }
 
 void RoutedRequest::OnRetryDenied() {
--- a/sidecar/routed_request.h
+++ b/sidecar/routed_request.h
@@ -89,9 +89,10 @@
   void RequestGrant();
   /// Ends the request with the result of the previous attempt, because the retry was denied.
   void OnRetryDenied();
-  /// Sends `message` to the node of an instance, as the current attempt.
+  /// Sends `message` with `body` to the node of an instance, as the current attempt.
   void Execute(const UpstreamInstance& to,
                wire::ExecutionRequest message,
+               Ref<const MessageBody> body,
                RequestAttempt::Purpose purpose);
   /// Takes an attempt that has ended out of the current or the stalled ones.
   std::unique_ptr<RequestAttempt> TakeAttempt(RequestAttempt& ended);
