Pass single bodies of up to 7/16 of the memory on, between nodes in parts

What callers saw: with maxBodyBytes 67,108,864 a single upload above 15.75 MiB got 413 and a single response above 8 MiB got 502, in calm, from the local instance and from a peer.

Causes: a frame between nodes has at most 16 MiB, and that bound held for the local instance too; large bodies may take an eighth of the memory, because each existed up to three times; a response had a constant bound.

Change: - BodyMemoryPool bounds requests and responses together, at half of the memory. A body that exceeds the share of its account is oversized, and admitted while the pool has room; a sixteenth of the memory is always left to other large bodies. An oversized body of unknown length reserves the maximum at once. - Nodes that announce it in their hello get bodies above 64 KiB in parts of 60 KiB, taking turns (BodySender). The receiver reserves the whole size first and starts the request when the body is complete (BodyReceiver). A request whose body did not reach the peer completely has not run, and is refused as such or sent elsewhere. One that arrived slowly is confirmed before it starts. - Replies are moved instead of copied. The bound of responses follows maxBodyBytes, and is at least 8 MiB as before. - A node of the previous version states no support and gets whole frames as before; what does not fit gets 413.

--- a/masticpin/admission/body_memory_settings.h
+++ b/masticpin/admission/body_memory_settings.h
@@ -4,8 +4,8 @@
 
 namespace masticpin {
 
-/// Bounds of a BodyMemory, in bytes of bodies. A body exists several times while it is passed on,
-/// so the sum of the bounds must be a fraction of the memory of the process.
+/// Bounds of a BodyMemory, in bytes of bodies. Small bodies are copied while they are passed on, so
+/// the sum of the bounds must be a fraction of the memory of the process.
 struct BodyMemorySettings {
   /// A body up to this size is small.
   std::size_t max_small_body_bytes = std::size_t{64} << 10;
--- a/masticpin/admission/body_reservation.h
+++ b/masticpin/admission/body_reservation.h
@@ -35,8 +35,7 @@
 
   BodyMemory* memory = nullptr;
   std::size_t bytes = 0;
-  /// Whether the bytes count toward the share of small bodies.
-  bool in_small_share = false;
+  BodyMemory::Share share = BodyMemory::Share::kSmall;
 };
 
 }  // namespace masticpin
--- a/masticpin/admission/message_memory.h
+++ b/masticpin/admission/message_memory.h
@@ -6,6 +6,8 @@
 
 /// The memory that the messages in progress take, over all connections of a process.
 struct MessageMemory {
+  /// Bounds the bodies of requests and the responses together.
+  BodyMemoryPool pool;
   /// Bodies of requests, from callers and peers.
   BodyMemory requests;
   /// Responses, from their arrival at the node until they are written to the peer or caller.
--- a/sidecar/execution_observer.h
+++ b/sidecar/execution_observer.h
@@ -13,7 +13,7 @@
  public:
   virtual ~ExecutionObserver() = default;
 
-  virtual void OnExecutionReply(const wire::ExecutionReply& reply) = 0;
+  virtual void OnExecutionReply(wire::ExecutionReply reply) = 0;
 
   /// Called when the executing node is unreachable (kUpstreamUnreachable: it never received the
   /// request) or the connection to it was lost (kPeerLost: it may have run the request).
--- a/sidecar/frame_observer.h
+++ b/sidecar/frame_observer.h
@@ -17,6 +17,9 @@
   /// Called instead of OnFrame() for a frame that is too large or cannot be decoded.
   virtual void OnUnreadableFrame(const UnreadableFrame& frame) = 0;
 
+  /// Called when all frames that were sent have been handed to the kernel.
+  virtual void OnFramesWritten() {}
+
   /// Called once when the connection has ended, but not after FrameStream::Close().
   virtual void OnStreamClosed(std::string_view reason) = 0;
 };
--- a/sidecar/frame_size_limit.h
+++ b/sidecar/frame_size_limit.h
@@ -19,8 +19,8 @@
   /// may still be refused when it is sent.
   static constexpr std::size_t kReservedBytes = std::size_t{256} << 10;
 
-  /// Returns the maximum size of a request body that enters this node, if all bodies in progress
-  /// together may take `max_bytes_in_progress`.
+  /// Returns the maximum size of a request body that is sent in one frame, if large bodies in
+  /// progress together may take `max_bytes_in_progress`.
   static std::size_t MaxRequestBodyBytes(std::size_t max_bytes_in_progress);
 
   /// States the limit of this node.
--- a/sidecar/frame_stream.cc
+++ b/sidecar/frame_stream.cc
@@ -220,6 +220,9 @@
           return;
         }
         self->Write();
+        if (!self->writing) {
+          self->observer->OnFramesWritten();
+        }
       });
 }
 
--- a/sidecar/http_client.cc
+++ b/sidecar/http_client.cc
@@ -27,6 +27,7 @@
       timers(timers),
       address(std::move(address)),
       settings(settings),
+      max_body_bytes(settings.max_body_bytes),
       own_memory(MakeMemorySettings(settings)),
       memory(settings.memory != nullptr ? *settings.memory : this->own_memory) {}
 
--- a/sidecar/http_client.h
+++ b/sidecar/http_client.h
@@ -31,6 +31,9 @@
   /// it.
   Ref<HttpClientConnection> Call(HttpCall call, HttpCallObserver& observer);
 
+  /// Sets the maximum size of the body of one response, in bytes. Applies to later calls.
+  void SetMaxBodyBytes(std::size_t bytes) { this->max_body_bytes = bytes; }
+
   /// Closes all idle connections. Used when the server at the address has been replaced.
   void CloseIdle();
 
@@ -53,6 +56,7 @@
   TimerService& timers;
   const SocketAddress address;
   const HttpClientSettings settings;
+  std::size_t max_body_bytes;
   /// Account of the bodies that are being received, if the settings name none.
   BodyMemory own_memory;
   BodyMemory& memory;
--- a/sidecar/http_client_connection.cc
+++ b/sidecar/http_client_connection.cc
@@ -133,6 +133,7 @@
   this->sent_requests.push_back(HashId(this->call.echo_value));
   this->discarded_responses = 0;
   this->received_bytes = 0;
+  this->max_body_bytes = this->client.max_body_bytes;
   this->StartParser();
   this->SetWriteTimeout();
   this->writing = true;
@@ -158,7 +159,7 @@
   this->parser.emplace();
   this->parser->eager(true);
   this->parser->header_limit(kMaxResponseHeaderBytes);
-  this->parser->body_limit(this->client.settings.max_body_bytes);
+  this->parser->body_limit(this->max_body_bytes);
   this->parser->skip(this->call.head);
   this->header_checked = false;
   this->body_reservation = BodyReservation(this->client.memory);
@@ -281,7 +282,7 @@
       return "ambiguous framing of the response";
     }
   }
-  if (this->received_bytes > this->client.settings.max_body_bytes * kMaxReceivedFactor) {
+  if (this->received_bytes > this->max_body_bytes * kMaxReceivedFactor) {
     return "response is too large";
   }
   return {};
@@ -297,8 +298,19 @@
 }
 
 bool HttpClientConnection::ReserveBody() {
-  const std::uint64_t arrived = this->parser->get().body().size();
-  return this->body_reservation.Grow(std::max(arrived, this->AnnouncedLength().value_or(arrived)));
+  std::string& body = this->parser->get().body();
+  const std::optional<std::uint64_t> announced = this->AnnouncedLength();
+  if (announced) {
+    return this->body_reservation.Grow(std::max<std::size_t>(body.size(), *announced));
+  }
+  const std::size_t bytes = this->client.memory.SizeToReserve(body.size(), this->max_body_bytes);
+  if (!this->body_reservation.Grow(bytes)) {
+    return false;
+  }
+  if (bytes > body.size()) {
+    body.reserve(bytes);  // A larger buffer would be beside this one until it is copied.
+  }
+  return true;
 }
 
 void HttpClientConnection::WaitForMemory() {
--- a/sidecar/http_client_connection.h
+++ b/sidecar/http_client_connection.h
@@ -87,7 +87,7 @@
   /// Discards an interim response or a response to another request, and waits for the next one.
   void DiscardMessage();
   /// Reserves the memory of the body: all of it if its length is announced, otherwise what has
-  /// arrived. Returns false if there is none.
+  /// arrived or, if it is oversized, the maximum. Returns false if there is none.
   bool ReserveBody();
   /// Length that the header announces for the body, or std::nullopt if there is none.
   std::optional<std::uint64_t> AnnouncedLength() const;
@@ -120,6 +120,8 @@
   /// Responses of the current call that were discarded, and all bytes received for it.
   std::size_t discarded_responses = 0;
   std::size_t received_bytes = 0;
+  /// Maximum size of the body of the response.
+  std::size_t max_body_bytes = 0;
   /// Memory of the body that is being received.
   BodyReservation body_reservation;
   bool waits_for_memory = false;
--- a/sidecar/http_session.cc
+++ b/sidecar/http_session.cc
@@ -401,13 +401,19 @@
   if (!this->parser->is_header_done()) {
     return true;
   }
-  const std::uint64_t arrived = this->parser->get().body().size();
-  const std::uint64_t announced = this->parser->content_length().value_or(arrived);
-  if (this->body_reservation.Grow(std::max(arrived, announced))) {
+  std::string& body = this->parser->get().body();
+  const boost::optional<std::uint64_t> announced = this->parser->content_length();
+  const std::size_t bytes = announced ? std::max<std::size_t>(body.size(), *announced)
+                                      : this->memory.requests.SizeToReserve(
+                                            body.size(), this->handler.Limits().max_body_bytes);
+  if (this->body_reservation.Grow(bytes)) {
+    if (!announced && bytes > body.size()) {
+      body.reserve(bytes);  // A larger buffer would be beside this one until it is copied.
+    }
     return true;
   }
-  spdlog::warn("event=body_refused bytes={} arrived={} large_bytes={} small_bytes={}", announced,
-               arrived, this->memory.requests.LargeBytes(), this->memory.requests.SmallBytes());
+  spdlog::warn("event=body_refused bytes={} arrived={} large_bytes={} small_bytes={}", bytes,
+               body.size(), this->memory.requests.LargeBytes(), this->memory.requests.SmallBytes());
   this->RejectForMemory();
   return false;
 }
--- a/sidecar/http_session.h
+++ b/sidecar/http_session.h
@@ -94,7 +94,8 @@
   /// Responds that the node has no memory for a request, which was not passed on.
   void RejectForMemory();
   /// Reserves the memory of the request's body: all of it if its length is announced, otherwise
-  /// what has arrived. Returns false if the request was rejected.
+  /// what has arrived or, if it is oversized, the maximum. Returns false if the request was
+  /// rejected.
   bool ReserveBody();
   /// Responds to a request that is not passed on, as the last one of the connection.
   void RejectMessage(int status, std::string_view reason, std::string_view header_lines = "");
--- a/sidecar/local_execution.cc
+++ b/sidecar/local_execution.cc
@@ -304,7 +304,7 @@
   this->observer = nullptr;
   this->executor.OnEnded(*this);
   if (finished_observer != nullptr) {
-    finished_observer->OnExecutionReply(reply);
+    finished_observer->OnExecutionReply(std::move(reply));
   }
 }
 
--- a/sidecar/local_executor.cc
+++ b/sidecar/local_executor.cc
@@ -250,7 +250,7 @@
   if (!granted) {
     reply.set_error(static_cast<std::uint32_t>(ErrorKind::kAttemptsExhausted));
   }
-  observer.OnExecutionReply(reply);
+  observer.OnExecutionReply(std::move(reply));
 }
 
 void LocalExecutor::Drain() {
--- a/sidecar/local_executor.h
+++ b/sidecar/local_executor.h
@@ -72,6 +72,9 @@
   /// Applies new settings of the service's retry budget.
   void SetRetries(const InstanceRetryBudgetSettings& new_retries);
 
+  /// Sets the maximum size of the body of one response of the instance, in bytes.
+  void SetMaxResponseBodyBytes(std::size_t bytes) { this->client.SetMaxBodyBytes(bytes); }
+
   /// Refuses all further requests. Those that wait or run are completed.
   void Drain();
 
--- a/sidecar/peer_link.cc
+++ b/sidecar/peer_link.cc
@@ -66,20 +66,13 @@
   wire::PeerFrame frame;
   *frame.mutable_request() = std::move(request);
   frame.mutable_request()->clear_caller_service();
-  if (body != nullptr) {
+  const bool large = body != nullptr && body->Size() > kMaxInlineBodyBytes;
+  if (body != nullptr && !large) {
     frame.mutable_request()->set_body(body->Bytes());
   }
   const TimePoint now = this->clock.Now();
   frame.mutable_request()->set_sender_clock_us(ToClockMicroseconds(now));
   frame.mutable_request()->set_configuration_version(this->catalog_store.ConfigurationVersion());
-  if (!this->frame_limit.Allows(frame)) {
-    spdlog::warn("event=request_too_large peer={} id={} bytes={}", this->instance,
-                 frame.request().request_id(), frame.ByteSizeLong());
-    wire::ExecutionReply refusal;
-    refusal.set_error(static_cast<std::uint32_t>(ErrorKind::kBodyTooLarge));
-    call_observer.OnExecutionReply(refusal);
-    return;
-  }
   if (this->calls.empty() && !this->silent) {
     // A peer may send nothing while no request is in progress, so silence is measured from this
     // one.
@@ -87,22 +80,73 @@
     this->keep_alive_pending = false;
   }
   this->calls[call] = Call{&call_observer, now, now + remaining};
+  if (!this->frame_limit.Allows(frame)) {
+    this->RefuseTooLarge(frame.request(), frame.ByteSizeLong());
+    return;
+  }
   this->last_sent = now;
-  switch (this->state) {
-    case State::kClosed:
-      this->waiting.push_back(std::move(frame));
-      this->Connect();
-      break;
-    case State::kConnecting:
-      this->waiting.push_back(std::move(frame));
-      break;
-    case State::kOpen:
+  if (large) {
+    this->large_requests.emplace(
+        call, LargeRequest{std::move(*frame.mutable_request()), std::move(body)});
+  } else if (this->state == State::kOpen) {
+    this->SendRequest(frame);
+  } else {
+    this->waiting.push_back(std::move(frame));
+  }
+  if (this->state == State::kClosed) {
+    this->Connect();
+  } else if (this->state == State::kOpen) {
+    if (!this->keep_alive_pending) {
+      this->timers.Schedule(*this, this->last_contact + kSilenceBeforeKeepAlive);
+    }
+    this->SendLargeRequests();
+  }
+}
+
+void PeerLink::SetAcceptsBodyParts(bool accepts) {
+  this->accepts_body_parts = accepts;
+  this->SendLargeRequests();
+}
+
+void PeerLink::SendLargeRequests() {
+  // The end of a request may cancel or start others.
+  while (this->accepts_body_parts && !this->large_requests.empty()) {
+    this->SendLargeRequest(
+        std::move(this->large_requests.extract(this->large_requests.begin()).mapped()));
+  }
+}
+
+void PeerLink::SendLargeRequest(LargeRequest large) {
+  const std::uint64_t call = large.request.call();
+  const TimePoint now = this->clock.Now();
+  wire::PeerFrame frame;
+  *frame.mutable_request() = std::move(large.request);
+  frame.mutable_request()->set_remaining_us(
+      ToRemainingMicroseconds(this->calls.at(call).deadline - now));
+  frame.mutable_request()->set_sender_clock_us(ToClockMicroseconds(now));
+  if (*this->accepts_body_parts) {
+    frame.mutable_request()->set_body_bytes(large.body->Size());
+    this->SendRequest(frame);
+    this->body_sender.Add(call, std::move(large.body), *this->stream);
+    return;
+  }
+  const std::size_t bytes = large.body->Size();
+  if (bytes <= FrameSizeLimit::MaxRequestBodyBytes(this->memory.requests.MaxLargeBodyBytes())) {
+    frame.mutable_request()->set_body(large.body->Bytes());
+    if (this->frame_limit.Allows(frame)) {
       this->SendRequest(frame);
-      if (!this->keep_alive_pending) {
-        this->timers.Schedule(*this, this->last_contact + kSilenceBeforeKeepAlive);
-      }
-      break;
+      return;
+    }
   }
+  this->RefuseTooLarge(frame.request(), bytes);
+}
+
+void PeerLink::RefuseTooLarge(const wire::ExecutionRequest& request, std::size_t bytes) {
+  spdlog::warn("event=request_too_large peer={} id={} bytes={}", this->instance,
+               request.request_id(), bytes);
+  wire::ExecutionReply refusal;
+  refusal.set_error(static_cast<std::uint32_t>(ErrorKind::kBodyTooLarge));
+  this->FinishCall(request.call(), std::move(refusal));
 }
 
 void PeerLink::SendRequest(wire::PeerFrame& frame) {
@@ -119,10 +163,9 @@
   if (this->calls.erase(call) == 0) {
     return;
   }
+  this->DropTransfers(call);
   if (this->state == State::kOpen) {
-    wire::PeerFrame frame;
-    frame.mutable_cancel()->set_call(call);
-    this->stream->Send(frame);
+    this->SendCancel(call);
     if (this->calls.empty()) {
       this->last_cancel = this->clock.Now();
       this->timers.Schedule(*this, this->last_cancel + kCancelTimeout);
@@ -133,6 +176,12 @@
                 [call](const wire::PeerFrame& frame) { return frame.request().call() == call; });
 }
 
+void PeerLink::SendCancel(std::uint64_t call) {
+  wire::PeerFrame frame;
+  frame.mutable_cancel()->set_call(call);
+  this->stream->Send(frame);
+}
+
 void PeerLink::Close() {
   const Ref<PeerLink> keep(this);
   this->Fail(ErrorKind::kPeerLost, "connection closed by the local node");
@@ -177,6 +226,7 @@
   hello.mutable_hello()->set_caller_service(this->local_service);
   hello.mutable_hello()->set_answers_receiver(true);
   FrameSizeLimit::Announce(*hello.mutable_hello());
+  hello.mutable_hello()->set_accepts_body_parts(true);
   this->stream->Send(hello);
   for (wire::PeerFrame& frame : this->waiting) {
     this->SendRequest(frame);
@@ -191,22 +241,20 @@
   switch (frame.body_case()) {
     case wire::PeerFrame::kHello:
       this->frame_limit.OnHello(frame.hello());
+      this->SetAcceptsBodyParts(frame.hello().accepts_body_parts());
       break;
-    case wire::PeerFrame::kReply: {
-      const wire::ExecutionReply& reply = frame.reply();
-      this->ReportLoad(reply.load());
-      this->observer.OnPeerConfigurationVersion(reply.configuration_version());
-      const auto found = this->calls.find(reply.call());
-      if (found != this->calls.end()) {
-        ExecutionObserver* const finished_observer = found->second.observer;
-        this->calls.erase(found);
-        finished_observer->OnExecutionReply(reply);
-      }
+    case wire::PeerFrame::kReply:
+      this->OnReply(*frame.mutable_reply());
+      break;
+    case wire::PeerFrame::kReplyPart:
+      this->OnReplyPart(frame.reply_part());
       break;
-    }
     case wire::PeerFrame::kKeepAliveReply:
       this->ReportLoad(frame.keep_alive_reply().load());
       this->observer.OnPeerConfigurationVersion(frame.keep_alive_reply().configuration_version());
+      if (!this->accepts_body_parts) {
+        this->SetAcceptsBodyParts(false);  // An old node has answered and sends no hello.
+      }
       break;
     case wire::PeerFrame::kCatalogRequest: {
       wire::PeerFrame catalog_frame;
@@ -240,17 +288,76 @@
   this->UpdateContact(this->clock.Now());
   spdlog::warn("event=frame_unreadable peer={} frame={} call={} bytes={} reason={}", this->instance,
                static_cast<int>(frame.kind), frame.call, frame.bytes, ReasonName(frame.reason));
-  const auto found = this->calls.find(frame.call);
-  if (frame.kind != wire::PeerFrame::kReply || found == this->calls.end()) {
+  if (frame.kind == wire::PeerFrame::kReply) {
+    this->FinishWithoutResponse(frame.call);
+  }
+}
+
+void PeerLink::OnReply(wire::ExecutionReply& reply) {
+  this->ReportLoad(reply.load());
+  this->observer.OnPeerConfigurationVersion(reply.configuration_version());
+  const std::uint64_t call = reply.call();
+  const std::size_t bytes = reply.body_bytes();
+  if (bytes == 0 || !this->calls.contains(call)) {
+    this->FinishCall(call, std::move(reply));
+    return;
+  }
+  BodyReservation reservation(this->memory.responses);
+  if (!reservation.Grow(bytes)) {
+    spdlog::warn("event=response_refused peer={} call={} bytes={} large_bytes={}", this->instance,
+                 call, bytes, this->memory.responses.LargeBytes());
+    this->SendCancel(call);  // Ends the transfer.
+    this->FinishWithoutResponse(call);
+    return;
+  }
+  this->arriving_replies.try_emplace(
+      call, ArrivingReply{std::move(reply), BodyReceiver(bytes, std::move(reservation))});
+}
+
+void PeerLink::OnReplyPart(const wire::BodyPart& part) {
+  const auto found = this->arriving_replies.find(part.call());
+  if (found == this->arriving_replies.end()) {
+    return;  // The request was cancelled, or the response refused.
+  }
+  switch (found->second.body.Append(part.bytes())) {
+    case BodyReceiver::Result::kIncomplete:
+      break;
+    case BodyReceiver::Result::kTooLong:
+      spdlog::warn("event=body_part_too_long peer={} call={}", this->instance, part.call());
+      this->SendCancel(part.call());
+      this->FinishWithoutResponse(part.call());
+      break;
+    case BodyReceiver::Result::kComplete: {
+      wire::ExecutionReply reply = std::move(found->second.reply);
+      reply.set_body(found->second.body.TakeBytes());
+      this->FinishCall(part.call(), std::move(reply));
+      break;
+    }
+  }
+}
+
+void PeerLink::DropTransfers(std::uint64_t call) {
+  this->large_requests.erase(call);
+  this->body_sender.Cancel(call);
+  this->arriving_replies.erase(call);
+}
+
+void PeerLink::FinishCall(std::uint64_t call, wire::ExecutionReply reply) {
+  this->DropTransfers(call);
+  const auto found = this->calls.find(call);
+  if (found == this->calls.end()) {
     return;
   }
   ExecutionObserver* const finished_observer = found->second.observer;
   this->calls.erase(found);
-  // The reply may be the response of the instance.
+  finished_observer->OnExecutionReply(std::move(reply));
+}
+
+void PeerLink::FinishWithoutResponse(std::uint64_t call) {
   wire::ExecutionReply reply;
   reply.set_error(static_cast<std::uint32_t>(ErrorKind::kUpstreamBroken));
   reply.set_reached_instance(true);
-  finished_observer->OnExecutionReply(reply);
+  this->FinishCall(call, std::move(reply));
 }
 
 void PeerLink::Confirm(std::uint64_t call) {
@@ -399,12 +506,17 @@
         this->stream == nullptr ? 0 : this->stream->UnacknowledgedBytes(), GetErrorInfo(kind).name,
         text);
   }
+  const std::set<std::uint64_t> undelivered = this->FindUndelivered();
   this->state = State::kClosed;
   this->silent = false;
   this->keep_alive_pending = false;
   this->timers.Cancel(*this);
   this->connecting_socket.reset();
   this->waiting.clear();
+  this->large_requests.clear();
+  this->body_sender.Clear();
+  this->arriving_replies.clear();
+  this->accepts_body_parts.reset();
   this->frame_limit = FrameSizeLimit();
   if (this->stream != nullptr) {
     // Nobody waits for the requests that have not arrived.
@@ -420,9 +532,21 @@
   while (!this->lost_calls.empty()) {
     const auto first = this->lost_calls.begin();
     ExecutionObserver* const finished_observer = first->second.observer;
+    const ErrorKind call_kind =
+        undelivered.contains(first->first) ? ErrorKind::kUpstreamUnreachable : kind;
     this->lost_calls.erase(first);
-    finished_observer->OnExecutionLost(kind, text);
+    finished_observer->OnExecutionLost(call_kind, text);
+  }
+}
+
+std::set<std::uint64_t> PeerLink::FindUndelivered() const {
+  std::set<std::uint64_t> undelivered;
+  for (const auto& [number, call] : this->calls) {
+    if (this->large_requests.contains(number) || this->body_sender.Contains(number)) {
+      undelivered.insert(number);
+    }
   }
+  return undelivered;
 }
 
 }  // namespace masticpin
--- a/sidecar/peer_link.h
+++ b/sidecar/peer_link.h
@@ -4,6 +4,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 
@@ -12,6 +14,8 @@
 #include "masticpin/base/ref_counted.h"
 #include "masticpin/base/socket_address.h"
 #include "masticpin/base/timer_service.h"
+#include "sidecar/body_receiver.h"
+#include "sidecar/body_sender.h"
 #include "sidecar/catalog_store.h"
 #include "sidecar/frame_size_limit.h"
 #include "sidecar/frame_stream.h"
@@ -68,15 +72,45 @@
     TimePoint deadline;
   };
 
+  struct LargeRequest {
+    wire::ExecutionRequest request;
+    Ref<const MessageBody> body;
+  };
+
+  /// A reply whose body arrives in parts.
+  struct ArrivingReply {
+    wire::ExecutionReply reply;
+    BodyReceiver body;
+  };
+
   enum class State : std::uint8_t { kClosed, kConnecting, kOpen };
 
   void OnFrame(wire::PeerFrame& frame) override;
+  void OnFramesWritten() override { this->body_sender.SendNext(*this->stream); }
   void OnUnreadableFrame(const UnreadableFrame& frame) override;
   void OnStreamClosed(std::string_view reason) override;
   void OnTimer(TimePoint now) override;
   /// Answers the peer's question whether a request is still wanted.
   void Confirm(std::uint64_t call);
   void SendRequest(wire::PeerFrame& frame);
+  /// Decides how the peer gets large bodies, and sends the requests that wait for that.
+  void SetAcceptsBodyParts(bool accepts);
+  void SendLargeRequests();
+  void SendLargeRequest(LargeRequest large);
+  /// Ends a request that is not sent, because the peer does not accept its size.
+  void RefuseTooLarge(const wire::ExecutionRequest& request, std::size_t bytes);
+  void OnReply(wire::ExecutionReply& reply);
+  void OnReplyPart(const wire::BodyPart& part);
+  /// Tells the peer that nobody waits for the reply to `call`.
+  void SendCancel(std::uint64_t call);
+  /// Drops the bodies of the request and the reply of `call` that are not transferred yet.
+  void DropTransfers(std::uint64_t call);
+  /// Ends `call` with `reply`, if it is in progress.
+  void FinishCall(std::uint64_t call, wire::ExecutionReply reply);
+  /// Ends `call`, whose reply may be a response of the instance that is lost.
+  void FinishWithoutResponse(std::uint64_t call);
+  /// The requests in progress that the peer does not have completely, so that they do not run.
+  std::set<std::uint64_t> FindUndelivered() const;
   void Connect();
   void OnConnected();
   void SendKeepAlive(TimePoint now);
@@ -106,8 +140,14 @@
   Ref<FrameStream> stream;
   /// Limit of the connection; the default until the peer's hello arrives.
   FrameSizeLimit frame_limit;
+  /// Whether the peer accepts bodies in parts; std::nullopt until that is known.
+  std::optional<bool> accepts_body_parts;
   /// Requests that wait for the connection to be established.
   std::vector<wire::PeerFrame> waiting;
+  /// Requests with large bodies that wait until it is known how the peer gets them.
+  std::map<std::uint64_t, LargeRequest> large_requests;
+  BodySender body_sender{BodySender::Direction::kRequests};
+  std::map<std::uint64_t, ArrivingReply> arriving_replies;
   std::map<std::uint64_t, Call> calls;
   /// Requests of a closed connection whose observers are not notified yet.
   std::map<std::uint64_t, Call> lost_calls;
--- a/sidecar/peer_protocol.h
+++ b/sidecar/peer_protocol.h
@@ -13,6 +13,10 @@
 /// Version of the protocol between nodes. Incremented by changes that older nodes cannot read.
 inline constexpr std::uint32_t kPeerProtocolVersion = 1;
 
+/// A larger body is sent in parts to a peer that accepts them. The size up to which BodyMemory
+/// counts a body as small, of which copies matter little.
+inline constexpr std::size_t kMaxInlineBodyBytes = std::size_t{64} << 10;
+
 /// Silence of a peer with requests in progress, in either direction, after which a keep-alive is
 /// sent, and the time that the peer has to reply before the connection is given up. A peer that
 /// exhausted its CPU quota is silent for up to 0.1 s, a slowed one for several tenths of a second.
--- a/sidecar/peer_session.cc
+++ b/sidecar/peer_session.cc
@@ -154,28 +154,60 @@
   return now - std::max(this->replied_at, this->delivered_at) < kMaxDeliveryWait;
 }
 
-void PeerSession::SendReply(std::uint64_t peer_call_id, const wire::ExecutionReply& reply) {
+void PeerSession::SendReply(std::uint64_t peer_call_id, wire::ExecutionReply reply) {
   wire::PeerFrame frame;
-  *frame.mutable_reply() = reply;
+  *frame.mutable_reply() = std::move(reply);
   frame.mutable_reply()->set_call(peer_call_id);
   frame.mutable_reply()->set_configuration_version(this->catalog_store.ConfigurationVersion());
+  this->replied_at = this->clock.Now();
+  if (this->accepts_body_parts && frame.reply().body().size() > kMaxInlineBodyBytes) {
+    this->SendReplyInParts(frame);
+    return;
+  }
   this->FitReply(frame);
-  BodyReservation reply_memory(this->memory.responses);
-  if (!reply.body().empty() && !reply_memory.Grow(frame.ByteSizeLong())) {
+  BodyReservation reply_memory;
+  if (!frame.reply().body().empty()) {
+    reply_memory = this->ReserveResponse(*frame.mutable_reply(), frame.ByteSizeLong());
+  }
+  this->stream->Send(frame, std::move(reply_memory));
+}
+
+void PeerSession::SendReplyInParts(wire::PeerFrame& frame) {
+  wire::ExecutionReply& reply = *frame.mutable_reply();
+  const std::size_t bytes = reply.body().size();
+  BodyReservation reply_memory = this->ReserveResponse(reply, bytes);
+  if (reply.error() != 0) {
+    this->stream->Send(frame);
+    return;
+  }
+  const Ref<const MessageBody> body(
+      new MessageBody(std::move(*reply.mutable_body()), std::move(reply_memory)));
+  reply.clear_body();
+  reply.set_body_bytes(bytes);
+  this->FitReply(frame);
+  this->stream->Send(frame);
+  if (reply.error() == 0) {
+    this->body_sender.Add(reply.call(), body, *this->stream);
+  }
+}
+
+BodyReservation PeerSession::ReserveResponse(wire::ExecutionReply& reply, std::size_t bytes) {
+  BodyReservation reservation(this->memory.responses);
+  if (!reservation.Grow(bytes)) {
     spdlog::warn(
         "event=response_refused caller_service={} call={} bytes={} large_bytes={} small_bytes={}",
-        this->caller_service, peer_call_id, frame.ByteSizeLong(),
-        this->memory.responses.LargeBytes(), this->memory.responses.SmallBytes());
-    DropResponse(*frame.mutable_reply());
+        this->caller_service, reply.call(), bytes, this->memory.responses.LargeBytes(),
+        this->memory.responses.SmallBytes());
+    DropResponse(reply);
   }
-  this->stream->Send(frame, std::move(reply_memory));
-  this->replied_at = this->clock.Now();
+  return reservation;
 }
 
 void PeerSession::Close() {
   const Ref<PeerSession> keep = std::move(this->self);
   this->PeerSessionHook::unlink();
   this->stream->Close();
+  this->body_sender.Clear();
   // Nobody waits for the replies to these requests any more.
   std::map<std::uint64_t, std::unique_ptr<Execution>> abandoned;
   abandoned.swap(this->executions);
@@ -197,7 +229,11 @@
     case wire::PeerFrame::kOpaqueRequest:
       this->OnRequest(*frame.mutable_opaque_request());
       break;
+    case wire::PeerFrame::kRequestPart:
+      this->OnRequestPart(frame.request_part());
+      break;
     case wire::PeerFrame::kCancel: {
+      this->body_sender.Cancel(frame.cancel().call());
       const auto found = this->executions.find(frame.cancel().call());
       if (found != this->executions.end()) {
         const std::uint64_t call = found->second->Call();
@@ -241,10 +277,12 @@
   this->service_matches = hello.service() == this->local_service;
   this->answers_receiver = hello.answers_receiver();
   this->frame_limit.OnHello(hello);
+  this->accepts_body_parts = hello.accepts_body_parts();
   if (this->frame_limit.IsAnnounced()) {
     wire::PeerFrame frame;
     frame.mutable_hello()->set_protocol(kPeerProtocolVersion);
     FrameSizeLimit::Announce(*frame.mutable_hello());
+    frame.mutable_hello()->set_accepts_body_parts(true);
     this->stream->Send(frame);
   }
 }
@@ -269,6 +307,7 @@
   reply.clear_reason();
   reply.clear_header_lines();
   reply.clear_body();
+  reply.clear_body_bytes();
 }
 
 void PeerSession::OnUnreadableFrame(const UnreadableFrame& frame) {
@@ -342,7 +381,13 @@
     added.OnExecutionReply(refusal);
     return;
   }
-  if (!this->TakeBody(request, added)) {
+  const std::size_t body_bytes = std::max<std::size_t>(request.body().size(), request.body_bytes());
+  BodyReservation reservation(this->memory.requests);
+  if (!reservation.Grow(body_bytes)) {
+    spdlog::warn(
+        "event=body_refused id={} caller_service={} bytes={} large_bytes={} small_bytes={}",
+        request.request_id(), this->caller_service, body_bytes, this->memory.requests.LargeBytes(),
+        this->memory.requests.SmallBytes());
     wire::ExecutionReply refusal;
     refusal.set_error(static_cast<std::uint32_t>(ErrorKind::kOverloaded));
     EncodeLoadReport(this->executor.GetLoad(), *refusal.mutable_load());
@@ -351,36 +396,74 @@
   }
   request.set_call(call);
   request.set_caller_service(this->caller_service);
-  if (this->MayBeDelayed(request) && this->answers_receiver) {
-    added.StartWhenConfirmed(std::move(request));
-  } else {
-    added.Start(std::move(request));
+  const bool delayed = this->MayBeDelayed(request);
+  if (request.body_bytes() > 0) {
+    added.ReceiveBody(std::move(request), std::move(reservation), delayed);
+    return;
   }
+  Ref<const MessageBody> body;
+  if (body_bytes > 0) {
+    body = Ref<const MessageBody>(
+        new MessageBody(std::move(*request.mutable_body()), std::move(reservation)));
+    request.clear_body();
+  }
+  added.StartOrConfirm(std::move(request), std::move(body), delayed);
 }
 
-bool PeerSession::TakeBody(wire::ExecutionRequest& request, Execution& execution) {
-  if (request.body().empty()) {
-    return true;
+void PeerSession::OnRequestPart(const wire::BodyPart& part) {
+  const auto found = this->executions.find(part.call());
+  if (found == this->executions.end()) {
+    return;  // The request was refused or cancelled.
   }
-  BodyReservation reservation(this->memory.requests);
-  if (!reservation.Grow(request.body().size())) {
-    spdlog::warn(
-        "event=body_refused id={} caller_service={} bytes={} large_bytes={} small_bytes={}",
-        request.request_id(), this->caller_service, request.body().size(),
-        this->memory.requests.LargeBytes(), this->memory.requests.SmallBytes());
-    return false;
+  Execution& execution = *found->second;
+  if (!execution.OnPart(part.bytes())) {
+    spdlog::warn("event=body_part_too_long caller_service={} call={}", this->caller_service,
+                 part.call());
+    wire::ExecutionReply refusal;
+    refusal.set_error(static_cast<std::uint32_t>(ErrorKind::kMalformedRequest));
+    execution.OnExecutionReply(std::move(refusal));
   }
-  execution.SetBody(Ref<const MessageBody>(
-      new MessageBody(std::move(*request.mutable_body()), std::move(reservation))));
-  request.clear_body();
-  return true;
+}
+
+void PeerSession::Execution::ReceiveBody(wire::ExecutionRequest request,
+                                         BodyReservation memory,
+                                         bool delayed) {
+  const std::size_t bytes = request.body_bytes();
+  this->arriving = std::make_unique<Arriving>(Arriving{std::move(request),
+                                                       BodyReceiver(bytes, std::move(memory)),
+                                                       this->session.clock.Now(), delayed});
+}
+
+bool PeerSession::Execution::OnPart(std::string_view part) {
+  if (this->arriving == nullptr) {
+    return true;  // The request has started or is refused; its result says so.
+  }
+  const BodyReceiver::Result result = this->arriving->body.Append(part);
+  if (result == BodyReceiver::Result::kComplete) {
+    const std::unique_ptr<Arriving> complete = std::move(this->arriving);
+    const Duration elapsed = this->session.clock.Now() - complete->began_at;
+    wire::ExecutionRequest& request = complete->request;
+    request.clear_body_bytes();
+    request.set_remaining_us(ToRemainingMicroseconds(
+        ReceivedDuration<std::chrono::microseconds>(request.remaining_us()) - elapsed));
+    this->StartOrConfirm(std::move(request), complete->body.TakeBody(),
+                         complete->delayed || elapsed > kMaxTransitTime);
+  }
+  return result != BodyReceiver::Result::kTooLong;
 }
 
 void PeerSession::Execution::Start(wire::ExecutionRequest request) {
   this->session.executor.Execute(std::move(request), std::move(this->body), *this);
 }
 
-void PeerSession::Execution::StartWhenConfirmed(wire::ExecutionRequest request) {
+void PeerSession::Execution::StartOrConfirm(wire::ExecutionRequest request,
+                                            Ref<const MessageBody> new_body,
+                                            bool delayed) {
+  this->body = std::move(new_body);
+  if (!delayed || !this->session.answers_receiver) {
+    this->Start(std::move(request));
+    return;
+  }
   this->unconfirmed = std::make_unique<wire::ExecutionRequest>(std::move(request));
   this->asked_at = this->session.clock.Now();
   this->session.timers.Schedule(*this, this->asked_at + kMaxConfirmationWait);
@@ -407,9 +490,9 @@
   this->Start(std::move(*request));
 }
 
-void PeerSession::Execution::OnExecutionReply(const wire::ExecutionReply& reply) {
+void PeerSession::Execution::OnExecutionReply(wire::ExecutionReply reply) {
   PeerSession& owner = this->session;
-  owner.SendReply(this->peer_call_id, reply);
+  owner.SendReply(this->peer_call_id, std::move(reply));
   owner.executions.erase(this->peer_call_id);  // Destroys this object.
 }
 
--- a/sidecar/peer_session.h
+++ b/sidecar/peer_session.h
@@ -13,6 +13,8 @@
 #include "masticpin/base/timer_service.h"
 #include "masticpin/base/timer_subscriber.h"
 #include "masticpin/membership/transit_time_estimator.h"
+#include "sidecar/body_receiver.h"
+#include "sidecar/body_sender.h"
 #include "sidecar/catalog_store.h"
 #include "sidecar/execution_observer.h"
 #include "sidecar/frame_size_limit.h"
@@ -67,17 +69,21 @@
     Execution(PeerSession& session, std::uint64_t peer_call_id, std::uint64_t call, bool idempotent)
         : session(session), peer_call_id(peer_call_id), call(call), idempotent(idempotent) {}
 
-    void SetBody(Ref<const MessageBody> new_body) { this->body = std::move(new_body); }
-
-    /// Passes the request and its body to the executor.
-    void Start(wire::ExecutionRequest request);
-
-    /// Asks the peer whether it still waits, and starts the request with the answer or after a
-    /// short time without one. Until then, it can be cancelled before it has started.
-    void StartWhenConfirmed(wire::ExecutionRequest request);
+    /// Keeps the request until the parts of its body have arrived, for which `memory` is reserved.
+    /// `delayed`: see StartOrConfirm().
+    void ReceiveBody(wire::ExecutionRequest request, BodyReservation memory, bool delayed);
+    /// Starts the request when `part` completes its body. Returns false if it exceeds the body.
+    bool OnPart(std::string_view part);
+
+    /// Passes the request and its body to the executor. If it was delayed, its caller may have
+    /// left, so that the peer is asked whether it still waits. The request then starts with the
+    /// answer, or after a short time without one. Until then it can be cancelled.
+    void StartOrConfirm(wire::ExecutionRequest request,
+                        Ref<const MessageBody> new_body,
+                        bool delayed);
     void OnConfirmation(const wire::Confirmation& confirmation);
 
-    void OnExecutionReply(const wire::ExecutionReply& reply) override;
+    void OnExecutionReply(wire::ExecutionReply reply) override;
     void OnExecutionLost(ErrorKind kind, std::string_view reason) override;
     void OnExecutionStalled() override {}
 
@@ -85,7 +91,16 @@
     bool IsIdempotent() const { return this->idempotent; }
 
    private:
+    /// A request whose body arrives in parts.
+    struct Arriving {
+      wire::ExecutionRequest request;
+      BodyReceiver body;
+      TimePoint began_at;
+      bool delayed;
+    };
+
     void OnTimer(TimePoint now) override;
+    void Start(wire::ExecutionRequest request);
 
     PeerSession& session;
     Ref<const MessageBody> body;
@@ -93,24 +108,30 @@
     const std::uint64_t peer_call_id;
     const std::uint64_t call;
     const bool idempotent;
+    /// The request, while its body arrives.
+    std::unique_ptr<Arriving> arriving;
     /// The request, while it waits for the confirmation.
     std::unique_ptr<wire::ExecutionRequest> unconfirmed;
     TimePoint asked_at{};
   };
 
   void OnFrame(wire::PeerFrame& frame) override;
+  void OnFramesWritten() override { this->body_sender.SendNext(*this->stream); }
   void OnUnreadableFrame(const UnreadableFrame& frame) override;
   void OnStreamClosed(std::string_view reason) override;
   /// Updates the time of the last contact if bytes have arrived, also those of an incomplete frame.
   void UpdateContact(TimePoint now);
   void SendKeepAlive(TimePoint now);
-  void SendReply(std::uint64_t peer_call_id, const wire::ExecutionReply& reply);
+  void SendReply(std::uint64_t peer_call_id, wire::ExecutionReply reply);
+  /// Sends a reply whose body the peer gets in parts.
+  void SendReplyInParts(wire::PeerFrame& frame);
+  /// Reserves the memory of a response. If there is none, replaces it by an error.
+  BodyReservation ReserveResponse(wire::ExecutionReply& reply, std::size_t bytes);
   /// Ends the idempotent requests in progress, as lost.
   void EndIdempotent(Duration silence);
   void OnHello(const wire::PeerHello& hello);
   void OnRequest(wire::ExecutionRequest& request);
-  /// Moves the body of `request` to `execution`. Returns false if there is no memory for it.
-  bool TakeBody(wire::ExecutionRequest& request, Execution& execution);
+  void OnRequestPart(const wire::BodyPart& part);
   /// Replaces the response in a reply by an error, because it cannot be kept or sent.
   static void DropResponse(wire::ExecutionReply& reply);
   /// Makes `frame` one that the peer can read: replaces a reply that is too large by an error.
@@ -132,6 +153,8 @@
   bool service_matches = false;
   bool answers_receiver = false;
   FrameSizeLimit frame_limit;
+  bool accepts_body_parts = false;
+  BodySender body_sender{BodySender::Direction::kReplies};
   Ref<FrameStream> stream;
   /// When bytes arrived last, and when a keep-alive was sent because none had arrived.
   TimePoint last_contact;
--- a/sidecar/request_attempt.cc
+++ b/sidecar/request_attempt.cc
@@ -43,8 +43,8 @@
   this->balancer.OnOutcome(this->instance, outcome);
 }
 
-void RequestAttempt::OnExecutionReply(const wire::ExecutionReply& reply) {
-  this->observer.OnAttemptReply(*this, reply);
+void RequestAttempt::OnExecutionReply(wire::ExecutionReply reply) {
+  this->observer.OnAttemptReply(*this, std::move(reply));
 }
 
 void RequestAttempt::OnExecutionLost(ErrorKind kind, std::string_view reason) {
--- a/sidecar/request_attempt.h
+++ b/sidecar/request_attempt.h
@@ -47,7 +47,7 @@
   bool IsGrantRequest() const { return this->purpose == Purpose::kGrant; }
 
  private:
-  void OnExecutionReply(const wire::ExecutionReply& reply) override;
+  void OnExecutionReply(wire::ExecutionReply reply) override;
   void OnExecutionLost(ErrorKind kind, std::string_view reason) override;
   void OnExecutionStalled() override;
 
--- a/sidecar/request_attempt_observer.h
+++ b/sidecar/request_attempt_observer.h
@@ -15,7 +15,7 @@
  public:
   virtual ~RequestAttemptObserver() = default;
 
-  virtual void OnAttemptReply(RequestAttempt& attempt, const wire::ExecutionReply& reply) = 0;
+  virtual void OnAttemptReply(RequestAttempt& attempt, wire::ExecutionReply reply) = 0;
   virtual void OnAttemptLost(RequestAttempt& attempt, ErrorKind kind, std::string_view reason) = 0;
 
   /// See ExecutionObserver::OnExecutionStalled().
--- a/sidecar/request_router.h
+++ b/sidecar/request_router.h
@@ -35,8 +35,8 @@
   /// Address of the local instance, whose requests are executed without a connection to a peer.
   SocketAddress upstream_address;
   /// Maximum size of a request body, if the configuration allows more. All bodies in progress
-  /// together may not take more memory, and nodes pass on no larger ones.
-  std::size_t max_body_bytes = std::size_t{15} << 20;
+  /// together may not take more memory.
+  std::size_t max_body_bytes = std::size_t{64} << 20;
   /// See SidecarSettings.
   double minimum_share = 0;
   /// Whether requests ask for the work time of their route.
--- a/sidecar/routed_request.cc
+++ b/sidecar/routed_request.cc
@@ -329,7 +329,7 @@
   return message;
 }
 
-void RoutedRequest::OnAttemptReply(RequestAttempt& source, const wire::ExecutionReply& reply) {
+void RoutedRequest::OnAttemptReply(RequestAttempt& source, wire::ExecutionReply reply) {
   const Ref<RoutedRequest> keep(this);
   std::unique_ptr<RequestAttempt> ended = this->TakeAttempt(source);
   if (ended->IsGrantRequest()) {
@@ -359,9 +359,8 @@
     return;
   }
   if (!IsFinalStatus(reply.status())) {
-    wire::ExecutionReply broken = reply;
-    broken.set_error(static_cast<std::uint32_t>(ErrorKind::kUpstreamBroken));
-    this->OnAttemptRefused(std::move(ended), broken);
+    reply.set_error(static_cast<std::uint32_t>(ErrorKind::kUpstreamBroken));
+    this->OnAttemptRefused(std::move(ended), reply);
     return;
   }
   // A failure of the server itself may be caused by a fault of this instance; a failure caused by
@@ -372,17 +371,17 @@
   this->may_have_run = true;
   if (server_failure && this->attempt != nullptr) {
     // The request is already repeated elsewhere.
-    this->last_reply = std::make_unique<wire::ExecutionReply>(reply);
+    this->last_reply = std::make_unique<wire::ExecutionReply>(std::move(reply));
     ++this->runs;
     return;
   }
   this->instance = ended->Instance();
   if (server_failure && this->route->idempotent && this->PrepareRetry(ErrorKind::kUpstreamBroken)) {
-    this->last_reply = std::make_unique<wire::ExecutionReply>(reply);
+    this->last_reply = std::make_unique<wire::ExecutionReply>(std::move(reply));
     this->Send();
     return;
   }
-  this->Respond(reply);
+  this->Respond(std::move(reply));
 }
 
 void RoutedRequest::OnAttemptRefused(std::unique_ptr<RequestAttempt> ended,
@@ -495,7 +494,7 @@
   }
   if (this->last_reply != nullptr) {
     // A failure of the server's own tells the caller more than one of this node.
-    this->Respond(*this->last_reply);
+    this->Respond(std::move(*this->last_reply));
     return;
   }
   this->Refuse(kind, retry_after, reason);
@@ -576,7 +575,7 @@
   return true;
 }
 
-void RoutedRequest::Respond(const wire::ExecutionReply& reply) {
+void RoutedRequest::Respond(wire::ExecutionReply reply) {
   const bool failed = reply.status() >= 500;
   if (failed) {
     spdlog::info(
@@ -592,7 +591,7 @@
   std::string lines = this->router.dialect.request_id + ": " + this->id + "\r\n";
   lines.append(reply.header_lines());
   this->Finish(OutgoingResponse{static_cast<int>(reply.status()), reply.reason(), std::move(lines),
-                                reply.body()});
+                                std::move(*reply.mutable_body())});
 }
 
 void RoutedRequest::Refuse(ErrorKind kind, Duration retry_after, std::string_view reason) {
@@ -748,7 +747,7 @@
   this->may_have_run |= this->attempt != nullptr && !this->attempt->IsGrantRequest();
   this->CancelAttempts(InstanceOutcome::kFailed);
   if (this->last_reply != nullptr) {
-    this->Respond(*this->last_reply);
+    this->Respond(std::move(*this->last_reply));
     return;
   }
   this->Refuse(this->may_have_run ? ErrorKind::kDeadlineExceeded : ErrorKind::kExpiredBeforeStart,
--- a/sidecar/routed_request.h
+++ b/sidecar/routed_request.h
@@ -41,7 +41,7 @@
 
  private:
   void OnCallerDisconnected() override;
-  void OnAttemptReply(RequestAttempt& source, const wire::ExecutionReply& reply) override;
+  void OnAttemptReply(RequestAttempt& source, wire::ExecutionReply reply) override;
   void OnAttemptLost(RequestAttempt& source, ErrorKind kind, std::string_view reason) override;
   void OnAttemptStalled(RequestAttempt& source) override;
   void OnTimer(TimePoint now) override;
@@ -101,7 +101,7 @@
   void CancelAttempts(InstanceOutcome outcome);
   /// Ends the request after its last attempt failed, unless a stalled attempt may still succeed.
   void RefuseOrWait(ErrorKind kind, Duration retry_after, std::string_view reason);
-  void Respond(const wire::ExecutionReply& reply);
+  void Respond(wire::ExecutionReply reply);
   void Refuse(ErrorKind kind, Duration retry_after, std::string_view reason);
   /// Logs that a request which may have run ends without an answer of its instance, and which
   /// changes of this node are recent.
--- a/sidecar/sidecar_node.cc
+++ b/sidecar/sidecar_node.cc
@@ -8,7 +8,7 @@
 #include <utility>
 
 #include "sidecar/catalog_codec.h"
-#include "sidecar/frame_size_limit.h"
+#include "sidecar/http_client_settings.h"
 
 namespace masticpin {
 namespace {
@@ -27,10 +27,15 @@
 constexpr std::uint32_t kTicksPerCatalogRequest = 4;
 
 /// Share of the memory that the large bodies of requests may take, and the same for those of
-/// responses. A body exists several times while it is passed on, so an eighth of each leaves room
-/// for the rest.
+/// responses.
 constexpr std::size_t kBodyMemoryDivisor = 8;
 
+/// Share of the memory that all of them may take together with oversized bodies, and the part of it
+/// that is left to those that are not oversized. Large bodies are passed on without copies, so that
+/// half of the memory is left for the rest.
+constexpr std::size_t kBodyPoolDivisor = 2;
+constexpr std::size_t kOrdinaryPoolDivisor = 16;
+
 /// Share of the memory that is reserved for the small bodies of requests.
 constexpr std::size_t kSmallBodyMemoryDivisor = 32;
 
@@ -57,13 +62,24 @@
   return memory;
 }
 
+BodyMemoryPoolSettings MakePoolSettings(const SidecarSettings& settings) {
+  BodyMemoryPoolSettings pool;
+  pool.max_bytes = (settings.memory_mb << 20) / kBodyPoolDivisor;
+  pool.max_oversized_bytes = pool.max_bytes - (settings.memory_mb << 20) / kOrdinaryPoolDivisor;
+  return pool;
+}
+
+/// Maximum size of a single body that the memory allows. A response is counted with its head.
+std::size_t MaxBodyBytes(const SidecarSettings& settings) {
+  return MakePoolSettings(settings).max_oversized_bytes - kMaxHeadBytes;
+}
+
 RequestRouterSettings MakeRouterSettings(const SidecarSettings& settings) {
   RequestRouterSettings router;
   router.service = settings.service;
   router.learn_speed = settings.learn_speed;
   router.upstream_address = settings.upstream_address;
-  router.max_body_bytes =
-      FrameSizeLimit::MaxRequestBodyBytes((settings.memory_mb << 20) / kBodyMemoryDivisor);
+  router.max_body_bytes = MaxBodyBytes(settings);
   router.minimum_share = settings.minimum_share;
   return router;
 }
@@ -82,8 +98,7 @@
 
 HttpClientSettings MakeResponseSettings(const SidecarSettings& settings, MessageMemory& memory) {
   HttpClientSettings responses;
-  responses.max_large_body_bytes = (settings.memory_mb << 20) / kBodyMemoryDivisor;
-  responses.max_body_bytes = std::min(responses.max_body_bytes, responses.max_large_body_bytes);
+  responses.max_body_bytes = std::min(responses.max_body_bytes, MaxBodyBytes(settings));
   responses.memory = &memory.responses;
   return responses;
 }
@@ -104,8 +119,9 @@
       read_settings(std::move(read_settings)),
       source(source),
       stop(MakeStopSettings(settings)),
-      memory{BodyMemory(MakeBodyMemorySettings(settings)),
-             BodyMemory(MakeBodyMemorySettings(settings)),
+      memory{BodyMemoryPool(MakePoolSettings(settings)),
+             BodyMemory(MakeBodyMemorySettings(settings), &this->memory.pool),
+             BodyMemory(MakeBodyMemorySettings(settings), &this->memory.pool),
              BodyMemory(MakeHeadMemorySettings(settings)),
              BodyMemory(MakeHeadMemorySettings(settings))},
       connections(ReadConnectionLimits(settings.memory_mb << 20)),
@@ -255,6 +271,10 @@
                configuration->Version(), this->router.ConfigurationVersion(),
                configuration->Routes().size(), configuration->Services().size());
   this->directory.SetServices(configuration->Services());
+  // A service may answer with what it accepts.
+  this->executor.SetMaxResponseBodyBytes(std::min(
+      std::max(HttpClientSettings().max_body_bytes, configuration->Limits().max_body_bytes),
+      MaxBodyBytes(this->settings)));
   this->router.SetConfiguration(std::move(configuration));
   this->UpdateReady();
 }
--- a/sidecar/testing/raw_peer.cc
+++ b/sidecar/testing/raw_peer.cc
@@ -1,5 +1,7 @@
 #include "sidecar/testing/raw_peer.h"
 
+#include <google/protobuf/io/zero_copy_stream_impl_lite.h>
+#include <google/protobuf/util/delimited_message_util.h>
 #include <gtest/gtest.h>
 #include <linux/filter.h>
 #include <sys/socket.h>
@@ -7,6 +9,7 @@
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 
+#include "sidecar/frame_size_limit.h"
 #include "sidecar/peer_protocol.h"
 #include "sidecar/tcp_address.h"
 
@@ -83,6 +86,21 @@
   return frame;
 }
 
+wire::PeerFrame RawPeer::MakeHello(bool accepts_body_parts) {
+  wire::PeerFrame frame;
+  frame.mutable_hello()->set_protocol(kPeerProtocolVersion);
+  FrameSizeLimit::Announce(*frame.mutable_hello());
+  frame.mutable_hello()->set_accepts_body_parts(accepts_body_parts);
+  return frame;
+}
+
+std::string RawPeer::Encode(const wire::PeerFrame& frame) {
+  std::string bytes;
+  google::protobuf::io::StringOutputStream stream(&bytes);
+  google::protobuf::util::SerializeDelimitedToZeroCopyStream(frame, &stream);
+  return bytes;
+}
+
 wire::PeerFrame RawPeer::MakeConfirmation(std::uint64_t call, Duration remaining) {
   wire::PeerFrame frame;
   frame.mutable_confirmation()->set_call(call);
--- a/sidecar/testing/raw_peer.h
+++ b/sidecar/testing/raw_peer.h
@@ -49,8 +49,13 @@
                                      bool idempotent,
                                      Duration age = Duration::zero());
   static wire::PeerFrame MakeCancel(std::uint64_t call);
+  /// Returns the hello with which a node answers that of another one.
+  static wire::PeerFrame MakeHello(bool accepts_body_parts);
   static wire::PeerFrame MakeConfirmation(std::uint64_t call, Duration remaining);
 
+  /// Returns `frame` as it is sent.
+  static std::string Encode(const wire::PeerFrame& frame);
+
   /// All frames received so far.
   const std::vector<wire::PeerFrame>& Received() const { return this->received; }
   std::size_t Count(wire::PeerFrame::BodyCase kind) const;
--- a/sidecar/testing/stalled_host.cc
+++ b/sidecar/testing/stalled_host.cc
@@ -1,5 +1,7 @@
 #include "sidecar/testing/stalled_host.h"
 
+#include <boost/asio/write.hpp>
+
 #include "sidecar/tcp_address.h"
 
 namespace masticpin {
@@ -28,6 +30,11 @@
       });
 }
 
+void StalledHost::Send(const std::string& bytes) {
+  boost::system::error_code ignored;  // The client may have closed the connection.
+  boost::asio::write(this->socket, boost::asio::buffer(bytes), ignored);
+}
+
 void StalledHost::Resume() {
   this->Read();
 }
--- a/sidecar/testing/stalled_host.h
+++ b/sidecar/testing/stalled_host.h
@@ -21,6 +21,9 @@
   /// Whether a client has connected.
   bool IsConnected() const { return this->socket.is_open(); }
 
+  /// Sends `bytes` to the client.
+  void Send(const std::string& bytes);
+
   /// Reads from now on, like a host whose link works again.
   void Resume();
 
