Let callers that read keep the memory of a long response

What callers saw: a response that takes longer than 250 ms to read was cut off whenever another message needed memory, however fast its caller read, and any response after 10 s.

Cause: the wait of a caller was measured from the start of the write. That was right while responses had at most 8 MiB; larger ones take seconds on an ordinary link.

Change: the time in which a caller reads at 1 MiB/s what its host has acknowledged does not count, neither for giving way nor for the timeout of a write. A caller that does not read gives way as before.

Evidence: SlowReaderTest.CallerThatReadsKeepsItsResponse failed on (the connection was closed) and passes. CallerThatDoesNotRead- GivesWay passes on both. UploadMemoryTest, HostileCallersTest and LargeBodyCrowdTest pass; peaks 7 to 31 MB of 64 and 54 to 71 MB of 160.

--- a/sidecar/http_listener.cc
+++ b/sidecar/http_listener.cc
@@ -53,7 +53,7 @@
                              "head does not arrive");
 }
 
-bool HttpListener::EvictEarliest(std::optional<TimePoint> (HttpSession::*since)() const,
+bool HttpListener::EvictEarliest(std::optional<TimePoint> (HttpSession::*since)(),
                                  TimePoint latest,
                                  std::string_view reason) {
   HttpSession* earliest = nullptr;
--- a/sidecar/http_listener.h
+++ b/sidecar/http_listener.h
@@ -46,7 +46,7 @@
  private:
   /// Evicts the connection for which `since` returns the earliest time, if that is before `latest`.
   /// Returns false if there is none.
-  bool EvictEarliest(std::optional<TimePoint> (HttpSession::*since)() const,
+  bool EvictEarliest(std::optional<TimePoint> (HttpSession::*since)(),
                      TimePoint latest,
                      std::string_view reason);
   void OnConnection(boost::asio::ip::tcp::socket socket) override;
--- a/sidecar/http_session.cc
+++ b/sidecar/http_session.cc
@@ -22,10 +22,17 @@
 
 namespace {
 
-/// If the caller has not accepted all bytes that are being written after this time, the connection
-/// is closed.
+/// If the caller has not accepted all bytes that are being written after this time, and the time
+/// that they take at the minimum rate, the connection is closed.
 constexpr Duration kWriteTimeout = std::chrono::seconds(10);
 
+/// Minimum rate at which a caller reads a long response, in bytes/s. One that is faster makes
+/// progress, and does not give way to others.
+constexpr std::size_t kMinReadRate = std::size_t{1} << 20;
+
+/// Maximum number of bytes of a response that one system call hands to the kernel.
+constexpr std::size_t kMaxWriteBytes = std::size_t{64} << 10;
+
 /// Added to the configured idle timeout, so that the connection is not closed while a request that
 /// the caller sent at the last moment is in transit.
 constexpr Duration kIdleMargin = std::chrono::milliseconds(500);
@@ -73,6 +80,11 @@
 /// only when they are complete.
 constexpr std::size_t kMaxChunkLineBytes = std::size_t{16} << 10;
 
+/// Time in which a caller reads `bytes` at the minimum rate.
+Duration MaxReadTime(std::size_t bytes) {
+  return std::chrono::milliseconds(bytes * 1000 / kMinReadRate);
+}
+
 }  // namespace
 
 HttpSession::HttpSession(boost::asio::ip::tcp::socket socket,
@@ -160,22 +172,27 @@
       [self = Ref<HttpSession>(this), text = std::string(reason)] { self->Close(text); });
 }
 
-std::optional<TimePoint> HttpSession::WritingSince() const {
-  return this->unsent_bytes > 0 && !this->evicted ? std::optional(this->writing_since)
-                                                  : std::nullopt;
+std::optional<TimePoint> HttpSession::WritingSince() {
+  if (this->unsent_bytes == 0 || this->evicted) {
+    return std::nullopt;
+  }
+  // What the kernel keeps is not read.
+  const std::size_t kept = this->accepted_bytes == 0 ? 0 : UnacknowledgedBytes(this->socket);
+  return this->writing_since +
+         MaxReadTime(this->accepted_bytes - std::min(this->accepted_bytes, kept));
 }
 
-std::optional<TimePoint> HttpSession::BodyStalledSince() const {
+std::optional<TimePoint> HttpSession::BodyStalledSince() {
   return this->body_reservation.Bytes() > 0 && !this->evicted ? std::optional(this->read_at)
                                                               : std::nullopt;
 }
 
-std::optional<TimePoint> HttpSession::HeadIncompleteSince() const {
+std::optional<TimePoint> HttpSession::HeadIncompleteSince() {
   const bool incomplete = this->exchanges.empty() && !this->input.empty() && !this->evicted;
   return incomplete ? std::optional(this->waiting_since) : std::nullopt;
 }
 
-std::optional<TimePoint> HttpSession::IdleSince() const {
+std::optional<TimePoint> HttpSession::IdleSince() {
   const bool idle = this->exchanges.empty() && !this->writing && !this->evicted &&
                     this->body_reservation.Bytes() == 0;
   return idle ? std::optional(this->waiting_since) : std::nullopt;
@@ -200,7 +217,8 @@
     return;
   }
   if (this->writing) {
-    this->timers.Schedule(*this, this->clock.Now() + kWriteTimeout);
+    this->timers.Schedule(*this, this->clock.Now() + kWriteTimeout +
+                                     MaxReadTime(this->output.size() + this->output_body.size()));
     return;
   }
   if (!this->exchanges.empty()) {
@@ -548,10 +566,16 @@
   }
   this->writing = true;
   this->writing_since = this->clock.Now();
+  this->accepted_bytes = 0;
   const std::array<boost::asio::const_buffer, 2> buffers = {boost::asio::buffer(this->output),
                                                             boost::asio::buffer(this->output_body)};
   boost::asio::async_write(
       this->socket, buffers,
+      [self = Ref<HttpSession>(this)](const boost::system::error_code& error,
+                                      std::size_t bytes) -> std::size_t {
+        self->accepted_bytes = bytes;
+        return error ? 0 : kMaxWriteBytes;
+      },
       [self = Ref<HttpSession>(this)](const boost::system::error_code& error, std::size_t) {
         self->OnWritten(error);
       });
@@ -568,6 +592,7 @@
   }
   this->output_memory.clear();
   this->writing_since = this->clock.Now();
+  this->accepted_bytes = 0;
   if (error) {
     this->Close(error.message());
     return;
--- a/sidecar/http_session.h
+++ b/sidecar/http_session.h
@@ -51,14 +51,15 @@
 
   /// Since when the caller has not accepted the bytes that are being written or responses wait
   /// behind one that is not complete, the caller has sent nothing of a body whose memory is
-  /// reserved, or has not completed a head. std::nullopt if that is not so.
-  std::optional<TimePoint> WritingSince() const;
-  std::optional<TimePoint> BodyStalledSince() const;
-  std::optional<TimePoint> HeadIncompleteSince() const;
+  /// reserved, or has not completed a head. std::nullopt if that is not so. The time that a caller
+  /// needs at the minimum rate for the bytes that its host has acknowledged does not count.
+  std::optional<TimePoint> WritingSince();
+  std::optional<TimePoint> BodyStalledSince();
+  std::optional<TimePoint> HeadIncompleteSince();
 
   /// Since when no request has been in progress and no body has been read; std::nullopt if that is
   /// not so.
-  std::optional<TimePoint> IdleSince() const;
+  std::optional<TimePoint> IdleSince();
 
   /// Releases what is reserved for the connection, and closes it in the next pass of the event
   /// loop.
@@ -144,6 +145,8 @@
   /// Size of the responses that are not written yet.
   std::size_t unsent_bytes = 0;
   bool writing = false;
+  /// Number of bytes of the current write that the caller has accepted.
+  std::size_t accepted_bytes = 0;
   /// Whether the response being written is the last one.
   bool close_after_write = false;
   /// Start of the current wait for bytes of a request; the idle and header timeouts are measured
