--- a/masticpin/settings/sidecar_settings_parser.cc
+++ b/masticpin/settings/sidecar_settings_parser.cc
@@ -116,7 +116,7 @@
      "Address of the platform's store, which holds the configuration and the list of instances.",
      &ApplyAddress<SidecarSettings, &SidecarSettings::registry_address>},
     {"limits", "memory_mb", "256", "a whole number, at least 32",
-     "Memory of the process in MB. Request bodies in progress take at most an eighth of it.",
+     "Memory of the process in MB. Bodies of messages in progress take at most half of it.",
      &ApplyMemory},
     {"limits", "stop_seconds", "6", "a number from 1 to 3600",
      "Time from SIGTERM to the latest end of the process.", &ApplyStopTime},
