End the transfer of a request's body at the deadline of the request

Cause: nothing limited the time in which a body arrives from a peer. A caller's body has the header timeout.

Change: the request is refused as expired, and has not run, when its remaining time is over.

Evidence: ReceivedBodyPartsTest.BodyThatDoesNotArriveEndsAtTheDeadline fails without the change (no reply after 1 s) and passes with it.

--- a/sidecar/body_parts_test.cc
+++ b/sidecar/body_parts_test.cc
@@ -136,6 +136,27 @@
   EXPECT_TRUE(this->WaitForReply(1));
 }
 
+// Guards against a peer that announces a body and sends nothing more, so that its memory stays
+// reserved as long as the connection is open.
+TEST_F(ReceivedBodyPartsTest, BodyThatDoesNotArriveEndsAtTheDeadline) {
+  this->Start();
+  wire::PeerFrame request = MakeRequestInParts(1);
+  request.mutable_request()->set_remaining_us(100'000);
+  request.mutable_request()->set_body_bytes(20'000'000);
+  this->peer->Send(request);
+  this->peer->Send(MakePart(1, kPartBytes));
+  const std::optional<wire::ExecutionReply> refusal = this->WaitForReply(1);
+  ASSERT_TRUE(refusal);
+  EXPECT_EQ(refusal->error(), static_cast<std::uint32_t>(ErrorKind::kExpiredBeforeStart));
+  request.mutable_request()->set_call(2);
+  this->peer->Send(request);
+  this->peer->Send(MakePart(1, kPartBytes));
+  const std::optional<wire::ExecutionReply> second = this->WaitForReply(2);
+  ASSERT_TRUE(second);
+  EXPECT_EQ(second->error(), static_cast<std::uint32_t>(ErrorKind::kExpiredBeforeStart));
+  EXPECT_EQ(this->RequestCount(0), 0U);
+}
+
 // Guards against a request that starts after a link was cut while its body arrived, and whose
 // caller may have left meanwhile.
 TEST_F(ReceivedBodyPartsTest, SlowBodyIsConfirmedBeforeItsRequestStarts) {
--- a/sidecar/peer_session.cc
+++ b/sidecar/peer_session.cc
@@ -432,6 +432,10 @@
   this->arriving = std::make_unique<Arriving>(Arriving{std::move(request),
                                                        BodyReceiver(bytes, std::move(memory)),
                                                        this->session.clock.Now(), delayed});
+  // A peer that sends nothing more must not keep the memory of the body.
+  this->session.timers.Schedule(
+      *this, this->arriving->began_at + ReceivedDuration<std::chrono::microseconds>(
+                                            this->arriving->request.remaining_us()));
 }
 
 bool PeerSession::Execution::OnPart(std::string_view part) {
@@ -440,6 +444,7 @@
   }
   const BodyReceiver::Result result = this->arriving->body.Append(part);
   if (result == BodyReceiver::Result::kComplete) {
+    this->session.timers.Cancel(*this);
     const std::unique_ptr<Arriving> complete = std::move(this->arriving);
     const Duration elapsed = this->session.clock.Now() - complete->began_at;
     wire::ExecutionRequest& request = complete->request;
@@ -486,6 +491,12 @@
 }
 
 void PeerSession::Execution::OnTimer(TimePoint) {
+  if (this->arriving != nullptr) {
+    wire::ExecutionReply refusal;
+    refusal.set_error(static_cast<std::uint32_t>(ErrorKind::kExpiredBeforeStart));
+    this->OnExecutionReply(std::move(refusal));
+    return;
+  }
   const std::unique_ptr<wire::ExecutionRequest> request = std::move(this->unconfirmed);
   this->Start(std::move(*request));
 }
