Count an arriving body in one function

HttpSession and HttpClientConnection each decided how much to reserve for a body of unknown length. BodyReservation::GrowWithBody() does it for both.

BodyMemoryPoolTest covers the function with and without a length; behaviour is the same.

--- a/masticpin/admission/body_memory.cc
+++ b/masticpin/admission/body_memory.cc
@@ -28,10 +28,6 @@
   }
 }
 
-std::size_t BodyMemory::SizeToReserve(std::size_t arrived, std::size_t max_bytes) const {
-  return arrived <= this->settings.large_share_bytes ? arrived : std::max(arrived, max_bytes);
-}
-
 std::optional<BodyMemory::Share> BodyMemory::FindShare(std::size_t bytes) const {
   if (bytes <= this->settings.max_small_body_bytes &&
       Fits(this->small_bytes, bytes, this->settings.small_share_bytes)) {
--- a/masticpin/admission/body_memory.h
+++ b/masticpin/admission/body_memory.h
@@ -36,11 +36,6 @@
   /// Maximum size of a body that is not oversized.
   std::size_t MaxLargeBodyBytes() const { return this->settings.large_share_bytes; }
 
-  /// Size to reserve for a body of unknown length, of which `arrived` bytes have arrived and which
-  /// may have `max_bytes`. An oversized one takes all of it at once: if several grew together, none
-  /// of them might be completed.
-  std::size_t SizeToReserve(std::size_t arrived, std::size_t max_bytes) const;
-
  private:
   friend class BodyReservation;
 
--- a/masticpin/admission/body_memory_test.cc
+++ b/masticpin/admission/body_memory_test.cc
@@ -3,7 +3,9 @@
 #include <gtest/gtest.h>
 
 #include <limits>
+#include <optional>
 #include <random>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -166,8 +168,19 @@
 TEST(BodyMemoryPoolTest, OversizedBodyOfUnknownLengthTakesTheMaximum) {
   BodyMemoryPool pool(kPool);
   BodyMemory memory(kSettings, &pool);
-  EXPECT_EQ(memory.SizeToReserve(kLargeShare, 2000), kLargeShare);
-  EXPECT_EQ(memory.SizeToReserve(kLargeShare + 1, 2000), 2000U);
+  BodyReservation reservation(memory);
+  std::string body(kLargeShare, 'x');
+  ASSERT_TRUE(reservation.GrowWithBody(body, std::nullopt, 2000));
+  EXPECT_EQ(reservation.Bytes(), kLargeShare);
+  body.push_back('x');
+  ASSERT_TRUE(reservation.GrowWithBody(body, std::nullopt, 2000));
+  EXPECT_EQ(reservation.Bytes(), 2000U);
+  EXPECT_GE(body.capacity(), 2000U);
+  BodyReservation announced(memory);
+  std::string begun = "x";
+  EXPECT_FALSE(announced.GrowWithBody(begun, kLargeShare, 2000));
+  EXPECT_TRUE(announced.GrowWithBody(begun, 100, 2000));
+  EXPECT_EQ(announced.Bytes(), 100U);
 }
 
 // Guards against a reservation that keeps what a buffer no longer holds.
--- a/masticpin/admission/body_reservation.cc
+++ b/masticpin/admission/body_reservation.cc
@@ -1,5 +1,6 @@
 #include "masticpin/admission/body_reservation.h"
 
+#include <algorithm>
 #include <cassert>
 #include <utility>
 
@@ -29,6 +30,23 @@
   return true;
 }
 
+bool BodyReservation::GrowWithBody(std::string& body,
+                                   std::optional<std::uint64_t> announced,
+                                   std::size_t max_bytes) {
+  if (announced) {
+    return this->Grow(std::max<std::size_t>(body.size(), *announced));
+  }
+  if (body.size() <= this->memory->MaxLargeBodyBytes()) {
+    return this->Grow(body.size());
+  }
+  const std::size_t bytes = std::max(body.size(), max_bytes);
+  if (!this->Grow(bytes)) {
+    return false;
+  }
+  body.reserve(bytes);  // A larger buffer would be beside this one until it is copied.
+  return true;
+}
+
 bool BodyReservation::Resize(std::size_t new_bytes) {
   if (new_bytes < this->bytes) {
     this->Release();
--- a/masticpin/admission/body_reservation.h
+++ b/masticpin/admission/body_reservation.h
@@ -1,6 +1,9 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
 
 #include "masticpin/admission/body_memory.h"
 
@@ -21,6 +24,13 @@
   /// changes nothing, if the account has no room for it and its reclaimer makes none.
   bool Grow(std::size_t bytes);
 
+  /// Enlarges the reservation for `body`, which is arriving and may have `max_bytes`: to the
+  /// announced length or, without one, to what has arrived. An oversized body without a length
+  /// takes the maximum at once, because several that grew together might all stay incomplete.
+  bool GrowWithBody(std::string& body,
+                    std::optional<std::uint64_t> announced,
+                    std::size_t max_bytes);
+
   /// Sets the reservation to `bytes`. Returns false, and keeps the smaller of both sizes, if the
   /// account has no room for it.
   bool Resize(std::size_t bytes);
--- a/sidecar/http_client_connection.cc
+++ b/sidecar/http_client_connection.cc
@@ -298,19 +298,8 @@
 }
 
 bool HttpClientConnection::ReserveBody() {
-  std::string& body = this->parser->get().body();
-  const std::optional<std::uint64_t> announced = this->AnnouncedLength();
-  if (announced) {
-    return this->body_reservation.Grow(std::max<std::size_t>(body.size(), *announced));
-  }
-  const std::size_t bytes = this->client.memory.SizeToReserve(body.size(), this->max_body_bytes);
-  if (!this->body_reservation.Grow(bytes)) {
-    return false;
-  }
-  if (bytes > body.size()) {
-    body.reserve(bytes);  // A larger buffer would be beside this one until it is copied.
-  }
-  return true;
+  return this->body_reservation.GrowWithBody(this->parser->get().body(), this->AnnouncedLength(),
+                                             this->max_body_bytes);
 }
 
 void HttpClientConnection::WaitForMemory() {
--- a/sidecar/http_session.cc
+++ b/sidecar/http_session.cc
@@ -420,18 +420,14 @@
     return true;
   }
   std::string& body = this->parser->get().body();
-  const boost::optional<std::uint64_t> announced = this->parser->content_length();
-  const std::size_t bytes = announced ? std::max<std::size_t>(body.size(), *announced)
-                                      : this->memory.requests.SizeToReserve(
-                                            body.size(), this->handler.Limits().max_body_bytes);
-  if (this->body_reservation.Grow(bytes)) {
-    if (!announced && bytes > body.size()) {
-      body.reserve(bytes);  // A larger buffer would be beside this one until it is copied.
-    }
+  const boost::optional<std::uint64_t> length = this->parser->content_length();
+  const std::optional<std::uint64_t> announced = length ? std::optional(*length) : std::nullopt;
+  if (this->body_reservation.GrowWithBody(body, announced, this->handler.Limits().max_body_bytes)) {
     return true;
   }
-  spdlog::warn("event=body_refused bytes={} arrived={} large_bytes={} small_bytes={}", bytes,
-               body.size(), this->memory.requests.LargeBytes(), this->memory.requests.SmallBytes());
+  spdlog::warn("event=body_refused bytes={} arrived={} large_bytes={} small_bytes={}",
+               announced.value_or(body.size()), body.size(), this->memory.requests.LargeBytes(),
+               this->memory.requests.SmallBytes());
   this->RejectForMemory();
   return false;
 }
