--- a/review/7/scenario.cc
+++ b/review/7/scenario.cc
@@ -74,14 +74,6 @@
   Deployment& deployment;
 };
 
-/// Ends the server: its connections break, and what it worked on is gone.
-void EndServer(Machine& machine) {
-  machine.server->StopListening();
-  for (const auto& connection : machine.server->Connections()) {
-    connection->Reset();
-  }
-}
-
 int Run(const std::string& directory) {
   DeploymentSettings settings;
   settings.drain_ms = static_cast<int>(kDrain.count());
@@ -123,7 +115,7 @@
   const auto acknowledged = Clock::now();
   deployment.Record("draining acknowledged server=" + leaver.instance);
   clients.SendFor(kDrain + kLittleLonger);
-  EndServer(leaver);
+  Deployment::EndServer(leaver);
   deployment.Record("server ends " + leaver.instance);
   deployment.RunFor(Milliseconds(1500));
   deployment.RecordTraffic();
--- a/review/standins-2/deployment.cc
+++ b/review/standins-2/deployment.cc
@@ -272,12 +272,7 @@
   machine.zone = zone;
   machine.ip = this->network + "." + number;
   machine.instance = "i-" + number + "a91c2" + number;
-  machine.server = std::make_unique<ScriptedServer>(
-      this->loop, machine.ip,
-      [this, &machine](ScriptedServer::Connection& connection, const std::string& request) {
-        this->OnServerRequest(machine, connection, request);
-      },
-      static_cast<std::uint16_t>(this->first_port + kAppOffset));
+  this->StartServer(machine);
   const auto address = [&](std::uint16_t offset) {
     return machine.ip + ":" + std::to_string(this->first_port + offset);
   };
@@ -310,6 +305,26 @@
   return machine;
 }
 
+void Deployment::StartServer(Machine& machine) {
+  // A former server is kept, because its connections may still have pending reads.
+  if (machine.server != nullptr) {
+    this->former_servers.push_back(std::move(machine.server));
+  }
+  machine.server = std::make_unique<ScriptedServer>(
+      this->loop, machine.ip,
+      [this, &machine](ScriptedServer::Connection& connection, const std::string& request) {
+        this->OnServerRequest(machine, connection, request);
+      },
+      static_cast<std::uint16_t>(this->first_port + kAppOffset));
+}
+
+void Deployment::EndServer(Machine& machine) {
+  machine.server->StopListening();
+  for (const auto& connection : machine.server->Connections()) {
+    connection->Reset();
+  }
+}
+
 void Deployment::WriteEntry(const Machine& machine, int cold_ms) {
   this->store->Put("servers/" + machine.instance,
                    R"({"service":")" + machine.service + R"(","address":")" +
@@ -330,7 +345,9 @@
     connection.Send("HTTP/1.1 421 Misdirected Request" + common + "\r\nContent-Length: 0\r\n\r\n");
     return;
   }
-  this->runs.push_back({id, machine.instance, Clock::now()});
+  const std::size_t space = request.find(' ');
+  this->runs.push_back({id, request.substr(space + 1, request.find(' ', space + 1) - space - 1),
+                        machine.instance, machine.service, Clock::now()});
   if (this->on_run) {
     this->on_run(this->runs.back());
   }
@@ -460,6 +477,7 @@
   }
   for (const ServerRun& run : this->runs) {
     this->record << "ms=" << this->MillisecondsOf(run.at) << " run id=" << run.id
+                 << " target=" << run.target << " service=" << run.service
                  << " server=" << run.server << "\n";
   }
   this->record.flush();
--- a/review/standins-2/deployment.h
+++ b/review/standins-2/deployment.h
@@ -103,7 +103,9 @@
 /// One request that arrived at a server.
 struct ServerRun {
   std::string id;
+  std::string target;
   std::string server;
+  std::string service;
   std::chrono::steady_clock::time_point at;
 };
 
@@ -163,6 +165,12 @@
   /// Writes the entry of the machine's server with its present state.
   void WriteEntry(const Machine& machine, int cold_ms = 0);
 
+  /// Starts a server at the address of the machine, with its present service and instance.
+  void StartServer(Machine& machine);
+
+  /// Ends the server of the machine: its connections break, and what it worked on is gone.
+  static void EndServer(Machine& machine);
+
   /// Runs the event loop for `time`.
   void RunFor(Milliseconds time);
 
@@ -211,6 +219,7 @@
   boost::asio::io_context loop;
   std::unique_ptr<Store> store;
   std::vector<std::unique_ptr<Machine>> machines;
+  std::vector<std::unique_ptr<ScriptedServer>> former_servers;
   std::vector<ServerRun> runs;
   std::deque<ClientRequest> requests;
   std::uint64_t next_id = 1;
