Show that pipelined answers are lost when a node stops

The node exits 5.7 s after SIGTERM and never delivers the answer to the second one, which the server gave 0.25 s after the SIGTERM.

--- a/review/7/scenario.cc
+++ b/review/7/scenario.cc
@@ -134,8 +134,9 @@
                                      deployment.MillisecondsOf(acknowledged)) +
                       " status_for_client=" + std::to_string(request->status));
   }
-  const std::string result = "DRAIN: " + std::to_string(late) + " requests reached the server over " +
-                             std::to_string(kDrain.count()) + " ms after the ack";
+  const std::string result = "DRAIN: " + std::to_string(late) +
+                             " requests reached the server over " + std::to_string(kDrain.count()) +
+                             " ms after the ack";
   deployment.Record(result);
   std::cout << result << "\n";
   return late > 0 ? kBroken : kHeld;
--- a/review/8/scenario.cc
+++ b/review/8/scenario.cc
@@ -6,9 +6,9 @@
 
 #include "review/standins-2/deployment.h"
 
-/// The store turns one machine away. The node of that machine, which holds the allotment of a tenant, is
-/// killed and started again. Checks that the servers together run no more of the tenant's requests in any window than
-/// QUOTA allows.
+/// The store turns one machine away. The node of that machine, which holds the allotment of a
+/// tenant, is killed and started again. Checks that the servers together run no more of the
+/// tenant's requests in any window than QUOTA allows.
 namespace masticpin::review {
 namespace {
 
--- a/review/standins-2/deployment.cc
+++ b/review/standins-2/deployment.cc
@@ -283,8 +283,7 @@
       << "\npeer_address = " << address(kPeerOffset)
       << "\nready_address = " << address(kReadyOffset)
       << "\nmetrics_address = " << address(kMetricsOffset)
-      << "\nupstream_address = " << address(kAppOffset)
-      << "\nregistry_address = "
+      << "\nupstream_address = " << address(kAppOffset) << "\nregistry_address = "
       << this->store->AddEntrance(machine.name, this->network + "." + std::to_string(200 + index))
              .ToString()
       << "\n\n[limits]\nmemory_mb = " << this->settings.memory_mb
@@ -348,10 +347,9 @@
   const std::size_t space = request.find(' ');
   this->runs.push_back({id, request.substr(space + 1, request.find(' ', space + 1) - space - 1),
                         machine.instance, machine.service, Clock::now()});
-  if (this->on_run) {
-    this->on_run(this->runs.back());
-  }
-  RunAfter(this->loop, this->settings.work,
+  const Milliseconds work =
+      this->work_of ? this->work_of(this->runs.back().target) : this->settings.work;
+  RunAfter(this->loop, work,
            [held = connection.shared_from_this(), common, id, close = machine.leaving] {
              const std::string body = "answer to " + id;
              held->Send("HTTP/1.1 200 OK" + common + "\r\nX-Server-Seal: seal." + id +
@@ -443,21 +441,59 @@
   this->requests.push_back(std::move(request));
 }
 
+std::vector<std::string> Deployment::SendPipelined(const Machine& machine,
+                                                   const std::vector<std::string>& targets,
+                                                   Milliseconds deadline) {
+  const auto caller = std::make_shared<RawCaller>(
+      this->loop,
+      SocketAddress{machine.ip, static_cast<std::uint16_t>(this->first_port + kRequestOffset)});
+  std::vector<std::string> ids;
+  for (const std::string& target : targets) {
+    ClientRequest request;
+    request.id = "a" + std::to_string(this->next_id++);
+    request.machine = machine.name;
+    request.sent_at = Clock::now();
+    request.caller = caller;
+    request.position = static_cast<int>(ids.size());
+    caller->Send("GET " + target +
+                 " HTTP/1.1\r\nHost: calls.example\r\nX-Attempt-Id: " + request.id +
+                 "\r\nX-Deadline-Ms: " + std::to_string(deadline.count()) + "\r\n\r\n");
+    ids.push_back(request.id);
+    this->requests.push_back(std::move(request));
+  }
+  return ids;
+}
+
+const ServerRun* Deployment::FindRun(const std::string& id) const {
+  const auto found = std::find_if(this->runs.rbegin(), this->runs.rend(),
+                                  [&id](const ServerRun& run) { return run.id == id; });
+  return found == this->runs.rend() ? nullptr : &*found;
+}
+
+const ClientRequest& Deployment::FindRequest(const std::string& id) const {
+  return *std::find_if(this->requests.begin(), this->requests.end(),
+                       [&id](const ClientRequest& request) { return request.id == id; });
+}
+
 void Deployment::PollRequests() {
   for (ClientRequest& request : this->requests) {
     if (request.status != 0 || request.caller == nullptr) {
       continue;
     }
-    if (request.caller->ResponseCount() > 0) {
-      const std::string& answer = request.caller->Received();
-      request.status = std::stoi(answer.substr(9, 3));
-      request.body = answer.substr(answer.find("\r\n\r\n") + 4);
+    if (request.caller->ResponseCount() > request.position) {
+      // The answers are in the order of the requests, and each contains the id of its request.
+      const std::string& answers = request.caller->Received();
+      const std::size_t id = answers.find("X-Attempt-Id: " + request.id + "\r\n");
+      const std::size_t begin = answers.rfind("HTTP/1.1 ", id);
+      request.status = begin == std::string::npos ? -1 : std::stoi(answers.substr(begin + 9, 3));
     } else if (request.caller->IsClosedByPeer()) {
       request.status = -1;
     } else {
       continue;
     }
-    request.caller->Close();
+    if (request.caller.use_count() == 1) {
+      request.caller->Close();
+    }
     request.caller.reset();
   }
 }
--- a/review/standins-2/deployment.h
+++ b/review/standins-2/deployment.h
@@ -127,9 +127,10 @@
   std::string machine;
   std::chrono::steady_clock::time_point sent_at;
   std::shared_ptr<RawCaller> caller;
+  /// Number of requests before it on its connection.
+  int position = 0;
   /// Status of the answer; 0 if there is none yet, -1 if the connection ended without one.
   int status = 0;
-  std::string body;
 };
 
 struct DeploymentSettings {
@@ -187,6 +188,15 @@
                    Milliseconds deadline,
                    const std::string& head_lines = "");
 
+  /// Sends GET requests for the targets at once, on one connection. Returns their ids.
+  std::vector<std::string> SendPipelined(const Machine& machine,
+                                         const std::vector<std::string>& targets,
+                                         Milliseconds deadline);
+
+  /// The last run of the request; nullptr if it did not run.
+  const ServerRun* FindRun(const std::string& id) const;
+  const ClientRequest& FindRequest(const std::string& id) const;
+
   /// Value of a metric of the node; -1 if it is not to be had.
   double Metric(const Machine& machine, const std::string& name);
 
@@ -199,7 +209,8 @@
   /// Milliseconds since the start.
   std::int64_t MillisecondsOf(std::chrono::steady_clock::time_point time) const;
 
-  std::function<void(const ServerRun&)> on_run;
+  /// Time for which servers work on a request for a target; the one of the settings by default.
+  std::function<Milliseconds(const std::string& target)> work_of;
 
  private:
   void OnServerRequest(Machine& machine,
