End the nodes of a review case when it fails to run

A case that meets an exception exits with 2 after its nodes are ended, and build-2.sh fails if one of its compilations fails.

--- a/review/8/scenario.cc
+++ b/review/8/scenario.cc
@@ -168,5 +168,5 @@
 }  // namespace masticpin::review
 
 int main(int argc, char** argv) {
-  return masticpin::review::Run(argc > 1 ? argv[1] : ".");
+  return masticpin::review::RunCase(argc, argv, masticpin::review::Run);
 }
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -9,12 +9,14 @@
   sidecar/testing/raw_caller.cc sidecar/testing/scripted_server.cc sidecar/tcp_address.cc
   masticpin/base/socket_address.cc)
 objects=()
+jobs=()
 for source in "${sources[@]}"; do
   object="$out/$(basename "$source" .cc).o"
   g++ "${flags[@]}" -c "$source" -o "$object" &
+  jobs+=($!)
   objects+=("$object")
 done
-wait
+for job in "${jobs[@]}"; do wait "$job"; done
 for scenario in review/{6,7,8,9,10}/scenario.cc; do
   [ -e "$scenario" ] || continue
   number="$(basename "$(dirname "$scenario")")"
--- a/review/standins-2/deployment.cc
+++ b/review/standins-2/deployment.cc
@@ -6,9 +6,10 @@
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdlib>
-#include <filesystem>
+#include <exception>
 #include <iostream>
 #include <sstream>
+#include <stdexcept>
 
 #include "platform/soak/run_after.h"
 
@@ -58,6 +59,15 @@
   return value == nullptr || std::string(value) != "0";
 }
 
+int RunCase(int argc, char** argv, int (*run)(const std::string& directory)) {
+  try {
+    return run(argc > 1 ? argv[1] : ".");
+  } catch (const std::exception& error) {
+    std::cerr << error.what() << "\n";
+    return kCannotRun;
+  }
+}
+
 Store::Store(boost::asio::io_context& loop) : loop(loop) {
   this->snapshots.push_back({Clock::now(), {}, this->revision});
 }
@@ -228,8 +238,7 @@
       start(Clock::now()),
       record(this->directory + "/record.txt") {
   if (!this->ChoosePorts()) {
-    std::cerr << "no free ports\n";
-    std::exit(kCannotRun);
+    throw std::runtime_error("no free ports");
   }
   this->store = std::make_unique<Store>(this->loop);
 }
--- a/review/standins-2/deployment.h
+++ b/review/standins-2/deployment.h
@@ -244,4 +244,8 @@
 inline constexpr int kBroken = 1;
 inline constexpr int kCannotRun = 2;
 
+/// Runs a case in the directory that the first argument names. An exception means that it could not
+/// run; the nodes are ended all the same.
+int RunCase(int argc, char** argv, int (*run)(const std::string& directory));
+
 }  // namespace masticpin::review
